--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -27,5 +27,5 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUsage, err)
 	}
-	return runNode(cfg, a, nil)
+	return runUntilSignal(cfg.Process.DrainTimeout, a, nil)
 }
--- /dev/null
+++ b/cmds/relay.go
@@ -0,0 +1,40 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+
+	"chervilreach/config"
+	"chervilreach/io/node"
+	plat "chervilreach/platform"
+)
+
+type relayCommand struct {
+	settingsArgs
+}
+
+func init() {
+	register("relay", "run a router on the users' platform", "Serves callers and sends their requests straight to "+
+		"endpoints. SIGTERM drains: requests in progress end whole.", &relayCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *relayCommand) Execute([]string) error {
+	cfg, err := config.LoadGate(c.Args.Settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	if err := cfg.ForRouter(); err != nil {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	log, err := node.NewGateLog(cfg, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	r := node.NewRelay(cfg, log, node.Platform{
+		Store: plat.NewStore(cfg.Store.Address), Dialect: plat.Dialect{}, Prefix: plat.Everything,
+		Image: plat.NewImage(log.Logger), AgentOf: plat.AgentPort(cfg.Process.Wire), ReadyPath: plat.ReadyPath,
+	})
+	return runUntilSignal(cfg.Process.DrainTimeout, r, r.Failed())
+}
--- a/cmds/route.go
+++ b/cmds/route.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"chervilreach/config"
 	"chervilreach/io/node"
@@ -38,7 +39,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUsage, err)
 	}
-	return runNode(cfg, r, r.Failed())
+	return runUntilSignal(cfg.Process.DrainTimeout, r, r.Failed())
 }
 
 // runner is a process that can be started and stopped.
@@ -47,8 +48,8 @@
 	Stop(ctx context.Context) error
 }
 
-// runNode runs a process until a signal, then drains it.
-func runNode(cfg *config.Config, n runner, failed <-chan error) error {
+// runUntilSignal runs a process until a signal, then drains it for at most so long.
+func runUntilSignal(most time.Duration, n runner, failed <-chan error) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	// The process outlives the signal: it drains first.
@@ -60,7 +61,7 @@
 	case <-ctx.Done():
 	case failure = <-failed:
 	}
-	drain, done := context.WithTimeout(context.WithoutCancel(ctx), cfg.Process.DrainTimeout)
+	drain, done := context.WithTimeout(context.WithoutCancel(ctx), most)
 	defer done()
 	return errors.Join(failure, n.Stop(drain))
 }
--- /dev/null
+++ b/cmds/swap.go
@@ -0,0 +1,42 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+
+	"chervilreach/config"
+	"chervilreach/io/node"
+	plat "chervilreach/platform"
+)
+
+type swapCommand struct {
+	settingsArgs
+}
+
+func init() {
+	register("swap", "run the agent beside a model endpoint on the users' platform",
+		"Orders the loads that routers ask for. SIGTERM ends it.", &swapCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *swapCommand) Execute([]string) error {
+	cfg, err := config.LoadGate(c.Args.Settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	if err := cfg.ForAgent(); err != nil {
+		return fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	log, err := node.NewGateLog(cfg, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	store := plat.NewStore(cfg.Store.Address)
+	holder := string(cfg.Process.Host)
+	s := node.NewSwap(cfg, log, node.SwapPlatform{
+		Store: store, Endpoint: plat.NewEngine(cfg.Endpoint.Address, holder), Prefix: plat.Operator,
+		Routes: plat.NewImage(log.Logger).Routes, Fence: store.Fence(holder),
+	})
+	return runUntilSignal(cfg.Process.DrainTimeout, s, s.Failed())
+}
--- a/config/config.go
+++ b/config/config.go
@@ -35,6 +35,15 @@
 // Load reads and checks a settings file. An error of the content is, or joins,
 // a *FieldError for each fault.
 func Load(path string) (*Config, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data)
+}
+
+// readFile reads a settings file that is not too long.
+func readFile(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
@@ -46,7 +55,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse checks settings; name is the file named in errors. Which fields may be
--- /dev/null
+++ b/config/gate.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"net/netip"
+	"reflect"
+	"time"
+
+	"chervilreach/core/fleet"
+)
+
+// Gate holds the settings of one process that serves on the users' platform: a
+// router that sends requests straight to endpoints, or the agent beside one.
+type Gate struct {
+	Process Process     `json:"process"`
+	Store   GateStore   `json:"store"`
+	Callers GateCallers `json:"callers"`
+	// Endpoint is the model endpoint beside an agent.
+	Endpoint GateEndpoint `json:"endpoint"`
+	Retries  GateRetries  `json:"retries"`
+	Log      Log          `json:"log"`
+
+	source *source
+}
+
+// GateStore is the section "store": the platform's store.
+type GateStore struct {
+	Address netip.AddrPort `json:"address" need:"router,agent"`
+	// Pace is the least time between two reads of changes.
+	Pace time.Duration `json:"pace" default:"400ms"`
+}
+
+// GateCallers is the section "callers": how a router serves callers.
+type GateCallers struct {
+	// Listen is where callers connect, Ready where the balancer asks.
+	Listen netip.AddrPort `json:"listen" need:"router"`
+	Ready  netip.AddrPort `json:"ready" need:"router"`
+	// MaxBodies is the most memory for the bodies of all requests in progress.
+	MaxBodies fleet.Bytes `json:"max-bodies" default:"48MiB"`
+}
+
+// GateEndpoint is the section "endpoint".
+type GateEndpoint struct {
+	Address netip.AddrPort `json:"address" need:"agent"`
+	Service string         `json:"service" need:"agent"`
+}
+
+// GateRetries is the section "retries": the bound on the repeats of all routers.
+type GateRetries struct {
+	// Ratio is the part of the requests that may be repeated.
+	Ratio float64 `json:"ratio" default:"0.2"`
+	// Extra is how many more may be repeated within the window.
+	Extra  int           `json:"extra" default:"50"`
+	Window time.Duration `json:"window" default:"10s"`
+}
+
+// LoadGate reads and checks a settings file of a process on the platform. Errors
+// are as those of Load.
+func LoadGate(path string) (*Gate, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseGate(path, data)
+}
+
+// ParseGate checks settings; name is the file named in errors.
+func ParseGate(name string, data []byte) (*Gate, error) {
+	c := &Gate{source: newSource(name, data)}
+	setDefaults(reflect.ValueOf(c).Elem())
+	dec := decoder{source: c.source}
+	dec.file(reflect.ValueOf(c).Elem())
+	if len(dec.faults) > 0 {
+		return nil, joinFaults(dec.faults)
+	}
+	f := faults{source: c.source}
+	c.Process.check(&f)
+	c.Log.check(&f)
+	f.between("store.pace", c.Store.Pace, 10*time.Millisecond, 10*time.Second)
+	f.between("retries.window", c.Retries.Window, 100*time.Millisecond, time.Hour)
+	if c.Retries.Ratio < 0 || c.Retries.Ratio > 1 {
+		f.add(ErrBadValue, "retries.ratio", "between 0 and 1")
+	}
+	if c.Retries.Extra < 0 {
+		f.add(ErrBadValue, "retries.extra", "at least 0")
+	}
+	return c, joinFaults(f.list)
+}
+
+// ForRouter says whether the settings are enough to run a router.
+func (c *Gate) ForRouter() error { return c.forRole(roleRouter) }
+
+// ForAgent says whether the settings are enough to run an agent.
+func (c *Gate) ForAgent() error { return c.forRole(roleAgent) }
+
+func (c *Gate) forRole(r role) error {
+	f := faults{source: c.source}
+	findMissing(&f, reflect.ValueOf(c).Elem(), "", r)
+	if c.Process.ID == "" {
+		c.Process.ID = c.Process.derivedID(r)
+	}
+	return joinFaults(f.list)
+}
--- a/config/process.go
+++ b/config/process.go
@@ -22,6 +22,8 @@
 	// DrainTimeout is the longest time that a shutdown waits for requests in
 	// progress.
 	DrainTimeout time.Duration `json:"drain-timeout" default:"60s"`
+	// Memory is the most that the process may take; 0 for no bound.
+	Memory fleet.Bytes `json:"memory"`
 }
 
 func (p Process) check(f *faults) {
--- a/config/scalar.go
+++ b/config/scalar.go
@@ -17,6 +17,7 @@
 const (
 	wantAddr     = `an IP number and a port from 1 to 65535, such as "10.0.0.7:7400" or "[fd00::7]:7400" (no host name)`
 	wantDuration = `a time with its unit, such as "250ms" or "10s"`
+	wantNumber   = "a number"
 	wantBytes    = `a whole number of bytes, or text such as "64KiB", "4MiB" or "80GiB"`
 	wantString   = `a text in quotes`
 	wantBool     = `true or false`
@@ -32,7 +33,7 @@
 // isScalar says whether values of the type are written as one JSON literal.
 func isScalar(t reflect.Type) bool {
 	switch t.Kind() {
-	case reflect.String, reflect.Bool, reflect.Int, reflect.Int64:
+	case reflect.String, reflect.Bool, reflect.Int, reflect.Int64, reflect.Float64:
 		return true
 	default:
 		return t == typeAddr
@@ -52,6 +53,8 @@
 		return wantString
 	case t.Kind() == reflect.Bool:
 		return wantBool
+	case t.Kind() == reflect.Float64:
+		return wantNumber
 	default:
 		return wantInt
 	}
@@ -102,6 +105,10 @@
 	case reflect.Bool:
 		dst.SetBool(lit.Bool())
 		return lit.Kind() == 't' || lit.Kind() == 'f'
+	case reflect.Float64:
+		x, err := strconv.ParseFloat(string(lit), 64)
+		dst.SetFloat(x)
+		return err == nil
 	default:
 		n, err := strconv.Atoi(string(lit))
 		dst.SetInt(int64(n))
@@ -135,7 +142,7 @@
 
 // defaultLiteral returns the literal of a default tag.
 func defaultLiteral(t reflect.Type, text string) hujson.Literal {
-	isNumber := t.Kind() == reflect.Int || t.Kind() == reflect.Bool
+	isNumber := t.Kind() == reflect.Int || t.Kind() == reflect.Float64 || t.Kind() == reflect.Bool
 	if isNumber {
 		return hujson.Literal(text)
 	}
--- /dev/null
+++ b/core/relay/effects.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"chervilreach/core/stock"
+)
+
+// Send asks for an attempt at an endpoint.
+type Send struct {
+	ID       RequestID
+	Try      int
+	Instance string
+	Address  netip.AddrPort
+	Deadline time.Time
+	// LastEvent is where a stream goes on.
+	LastEvent int64
+	// Version is that of the weights which must go on with the stream; 0 for any.
+	Version int64
+	// Urgency is the rank among the endpoint's requests; 0 is the first, and below
+	// 0 it has none.
+	Urgency int
+}
+
+// Kind implements event.Effect.
+func (Send) Kind() string { return "relay-send" }
+
+// Routine implements event.Routine.
+func (Send) Routine() {}
+
+// Reason says why a request is refused or fails.
+type Reason string
+
+// Reasons of refusals and failures.
+const (
+	NoEndpoint Reason = "no-endpoint"
+	NoModel    Reason = "unknown-model"
+	TooLate    Reason = "too-late"
+	TooBusy    Reason = "too-busy"
+	NoBudget   Reason = "no-retry-budget"
+	MayHaveRun Reason = "may-have-run"
+	OutOfTime  Reason = "out-of-time"
+	AllFailed  Reason = "attempts-failed"
+)
+
+// Refuse answers a request that has not run and will not run.
+type Refuse struct {
+	ID     RequestID
+	Reason Reason
+	// RetryAt is when a repeat is likely to be served.
+	RetryAt time.Time
+}
+
+// Kind implements event.Effect.
+func (Refuse) Kind() string { return "relay-refuse" }
+
+// Routine implements event.Routine.
+func (Refuse) Routine() {}
+
+// Fail answers a request that may have run, or ends its answer visibly short.
+type Fail struct {
+	ID     RequestID
+	Reason Reason
+}
+
+// Kind implements event.Effect.
+func (Fail) Kind() string { return "relay-fail" }
+
+// Routine implements event.Routine.
+func (Fail) Routine() {}
+
+// Deliver passes on the endpoint's own failure that the last attempt brought.
+type Deliver struct {
+	ID RequestID
+}
+
+// Kind implements event.Effect.
+func (Deliver) Kind() string { return "relay-deliver" }
+
+// Routine implements event.Routine.
+func (Deliver) Routine() {}
+
+// Ask sends a router's demand to the agent beside an endpoint.
+type Ask struct {
+	Instance string
+	Demand   stock.Demand
+}
+
+// Kind implements event.Effect.
+func (Ask) Kind() string { return "relay-ask" }
+
+// Routine implements event.Routine.
+func (Ask) Routine() {}
--- /dev/null
+++ b/core/relay/endpoint.go
@@ -0,0 +1,116 @@
+package relay
+
+import (
+	"time"
+
+	"chervilreach/core/stock"
+)
+
+const (
+	// failureWeight is the weight of the latest attempt in an endpoint's rate of
+	// failures.
+	failureWeight = 0.2
+	// ejectRate is the rate of failures from which an endpoint gets no requests
+	// while another one can serve, and ejectTime how long.
+	ejectRate = 0.5
+	ejectTime = 2 * time.Second
+	// unreachableTime is how long an endpoint that can't be reached is left out.
+	unreachableTime = 700 * time.Millisecond
+	// speedWeight is the weight of the latest prompt in the speed of reading.
+	speedWeight = 0.1
+	// firstSpeed is assumed until a prompt has been read, in tokens per ms: slower
+	// than present accelerators, so that load is spread at first.
+	firstSpeed = 10.0
+)
+
+// endpoint is what a router knows of one endpoint.
+type endpoint struct {
+	Member
+	hasAgent bool
+	// running, unread: this router's attempts, and the tokens of prompts among
+	// them that have not begun to answer.
+	running, unread int
+	// models counts this router's attempts by model.
+	models map[string]int
+	// since counts attempts sent since the agent's last report and before that
+	// one, which the report may not tell of.
+	since, before int
+	failures      float64
+	avoidUntil    time.Time
+	// speed is how fast prompts are read, in tokens per ms.
+	speed float64
+	// asked is what the agent was told last.
+	asked stock.Demand
+}
+
+func newEndpoint(m Member) *endpoint {
+	return &endpoint{Member: m, models: make(map[string]int), speed: firstSpeed}
+}
+
+// update takes in the platform's entry. An agent's report is newer than what
+// the entry says of models.
+func (e *endpoint) update(m Member) {
+	held := e.Stock
+	e.Member = m
+	if e.hasAgent {
+		e.Stock = held
+	}
+}
+
+func (e *endpoint) report(r stock.Report) {
+	if len(r.Copies.Disk) == 0 && len(r.Copies.Memory) == 0 {
+		r.Copies = e.Stock.Copies
+	}
+	e.Stock = r
+	e.hasAgent = true
+	e.since, e.before = 0, e.since
+	if r.Leaving {
+		e.Leaving = true
+	}
+}
+
+func (e *endpoint) add(r *request) {
+	e.running++
+	e.since++
+	e.unread += r.TokensIn
+	e.models[r.Item.Model]++
+}
+
+func (e *endpoint) remove(r *request) {
+	e.running--
+	if !r.began {
+		e.unread -= r.TokensIn
+	}
+	if e.models[r.Item.Model]--; e.models[r.Item.Model] <= 0 {
+		delete(e.models, r.Item.Model)
+	}
+}
+
+// begun takes a prompt as read.
+func (e *endpoint) begun(r *request, now time.Time) {
+	e.unread -= r.TokensIn
+	took := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
+	if r.TokensIn > 0 && took > 0 {
+		e.speed += speedWeight * (float64(r.TokensIn)/took - e.speed)
+	}
+}
+
+// attempted takes in how an attempt went.
+func (e *endpoint) attempted(failed bool, now time.Time) {
+	e.failures *= 1 - failureWeight
+	if !failed {
+		return
+	}
+	e.failures += failureWeight
+	if e.failures > ejectRate {
+		e.avoidUntil = now.Add(ejectTime)
+	}
+}
+
+// load is how many requests the engine has, from all routers, as far as known.
+func (e *endpoint) load() int {
+	if !e.hasAgent {
+		return e.running
+	}
+	return max(e.Stock.Running+e.Stock.Waiting+e.since+e.before, e.running)
+}
--- /dev/null
+++ b/core/relay/state.go
@@ -0,0 +1,294 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+)
+
+// Settings are the figures of a deployment that a router goes by.
+type Settings struct {
+	// Zone is the router's failure domain.
+	Zone string
+	// RetryRatio and RetryExtra bound the repeats of all routers within
+	// RetryWindow: the ratio of the requests, and so many more.
+	RetryRatio  float64
+	RetryExtra  int
+	RetryWindow time.Duration
+}
+
+// State is a router's reducer.
+type State struct {
+	cfg       Settings
+	table     *route.Table
+	endpoints []*endpoint
+	requests  map[RequestID]*request
+	// waiting are the requests that are not at an endpoint, in the order in which
+	// they are served.
+	waiting []*request
+	wants   map[wantKey]*want
+	demand  map[string]*traffic
+	prompts *prompts
+	budget  budget
+	effects []event.Effect
+	now     time.Time
+	// refreshAt is when all agents are told the demand again.
+	refreshAt time.Time
+}
+
+// request is one in progress.
+type request struct {
+	Request
+	id RequestID
+	// at is the endpoint of the attempt in progress; nil while waiting.
+	at *endpoint
+	// began says that the attempt in progress has begun to answer.
+	began bool
+	// sentAt is when the attempt in progress was sent.
+	sentAt time.Time
+	// tries counts attempts, ran those which may have run.
+	tries, ran int
+	// avoid are instances that failed the request.
+	avoid []string
+	// version is that of the weights that made the answer so far.
+	version int64
+	// answering says that a part of the answer has been passed on.
+	answering bool
+	// failed says that the endpoint's own failure is at hand.
+	failed    bool
+	arrivedAt time.Time
+	// notBefore holds back a request that all endpoints have turned away.
+	notBefore time.Time
+}
+
+// New returns the state of a router that has just started.
+func New(cfg Settings) *State {
+	return &State{
+		cfg:      cfg,
+		requests: make(map[RequestID]*request),
+		wants:    make(map[wantKey]*want),
+		demand:   make(map[string]*traffic),
+		prompts:  newPrompts(),
+		budget:   newBudget(cfg),
+	}
+}
+
+// Apply implements event.Reducer.
+func (s *State) Apply(now time.Time, ev event.Event) []event.Effect {
+	s.now, s.effects = now, nil
+	switch ev := ev.(type) {
+	case Arrive:
+		s.arrive(ev)
+	case Begun:
+		s.begun(ev)
+	case Ended:
+		s.ended(ev)
+	case Gone:
+		s.gone(ev)
+	case Members:
+		s.members(ev)
+	case Reported:
+		s.reported(ev)
+	case AgentLost:
+		s.agentLost(ev)
+	case Adopted:
+		s.table = ev.Table
+	case event.Tick:
+		s.tick()
+	}
+	s.askAgents()
+	return s.effects
+}
+
+func (s *State) emit(eff event.Effect) { s.effects = append(s.effects, eff) }
+
+func (s *State) count(name string) { s.emit(event.Count{Name: name, N: 1}) }
+
+func (s *State) arrive(ev Arrive) {
+	r := &request{Request: ev.Request, id: ev.ID, arrivedAt: s.now}
+	s.requests[ev.ID] = r
+	s.budget.request(s.now, r.Service)
+	if r.Item.Model != "" {
+		s.traffic(r.Item.Model).arrive(s.now)
+	}
+	s.place(r)
+}
+
+// place sends a request, has it wait, or answers it.
+func (s *State) place(r *request) {
+	if !s.now.Before(r.Deadline) {
+		s.expire(r)
+		return
+	}
+	if r.Item.Model != "" && s.unknownModel(r) {
+		s.refuse(r, NoModel, s.now.Add(retryUnknown))
+		return
+	}
+	if !s.now.Before(r.notBefore) {
+		if e := s.choose(r); e != nil {
+			s.send(r, e)
+			return
+		}
+		s.forgive(r)
+	}
+	s.wait(r)
+}
+
+// forgive lets a request try endpoints again that turned it away, after a pause.
+func (s *State) forgive(r *request) {
+	if len(r.avoid) == 0 {
+		return
+	}
+	r.avoid = nil
+	r.notBefore = s.now.Add(retryPause)
+	s.emitWake(r.notBefore)
+}
+
+// unknownModel says whether the service's engine can't load what the request
+// asks for.
+func (s *State) unknownModel(r *request) bool {
+	engine := s.table.Engine(r.Service)
+	if engine == nil {
+		return false
+	}
+	_, ok := engine.Models[r.Item.Model]
+	return !ok
+}
+
+func (s *State) send(r *request, e *endpoint) {
+	s.unwait(r)
+	r.at, r.began, r.sentAt = e, false, s.now
+	r.tries++
+	e.add(r)
+	if r.tries > 1 {
+		s.budget.repeat(s.now, r.Service)
+	}
+	s.prompts.sent(r, e.Instance)
+	s.emit(Send{
+		ID: r.id, Try: r.tries, Instance: e.Instance, Address: e.Address, Deadline: r.Deadline,
+		LastEvent: r.LastEvent, Version: r.version, Urgency: r.Route.Priority,
+	})
+}
+
+func (s *State) begun(ev Begun) {
+	r := s.requests[ev.ID]
+	if r == nil || r.at == nil || r.began {
+		return
+	}
+	r.began = true
+	r.at.begun(r, s.now)
+}
+
+func (s *State) gone(ev Gone) {
+	r := s.requests[ev.ID]
+	if r == nil {
+		return
+	}
+	s.leave(r)
+	s.drop(r)
+}
+
+// leave takes a request off the endpoint of its last attempt.
+func (s *State) leave(r *request) {
+	if r.at != nil {
+		r.at.remove(r)
+		r.at = nil
+	}
+}
+
+// drop forgets a request.
+func (s *State) drop(r *request) {
+	s.unwait(r)
+	delete(s.requests, r.id)
+}
+
+func (s *State) refuse(r *request, reason Reason, at time.Time) {
+	s.drop(r)
+	if r.ran > 0 || r.answering {
+		s.emit(Fail{ID: r.id, Reason: reason})
+		return
+	}
+	s.emit(Refuse{ID: r.id, Reason: reason, RetryAt: at})
+}
+
+func (s *State) fail(r *request, reason Reason) {
+	s.drop(r)
+	if r.failed && !r.answering {
+		s.emit(Deliver{ID: r.id})
+		return
+	}
+	s.emit(Fail{ID: r.id, Reason: reason})
+}
+
+// expire answers a request whose deadline has passed.
+func (s *State) expire(r *request) {
+	if r.ran > 0 {
+		s.fail(r, OutOfTime)
+		return
+	}
+	s.refuse(r, OutOfTime, s.now)
+}
+
+func (s *State) members(ev Members) {
+	old := make(map[string]*endpoint, len(s.endpoints))
+	for _, e := range s.endpoints {
+		old[e.Instance] = e
+	}
+	s.endpoints = s.endpoints[:0]
+	for _, m := range ev.List {
+		e := old[m.Instance]
+		if e == nil {
+			e = newEndpoint(m)
+		}
+		delete(old, m.Instance)
+		e.update(m)
+		s.endpoints = append(s.endpoints, e)
+	}
+	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
+	for _, id := range slices.Sorted(maps.Keys(old)) {
+		old[id].Leaving = true
+		s.forgetWants(id)
+	}
+	s.serveWaiting()
+}
+
+func (s *State) endpoint(instance string) *endpoint {
+	i, ok := slices.BinarySearchFunc(s.endpoints, instance, func(e *endpoint, id string) int {
+		return cmp.Compare(e.Instance, id)
+	})
+	if !ok {
+		return nil
+	}
+	return s.endpoints[i]
+}
+
+func (s *State) reported(ev Reported) {
+	e := s.endpoint(ev.Report.Instance)
+	if e == nil {
+		return
+	}
+	e.report(ev.Report)
+	s.budget.routers = max(ev.Report.Routers, 1)
+	s.checkWants(e)
+	s.serveWaiting()
+}
+
+func (s *State) agentLost(ev AgentLost) {
+	if e := s.endpoint(ev.Instance); e != nil {
+		e.hasAgent = false
+		e.asked = stock.Demand{}
+		s.forgetWants(ev.Instance)
+	}
+}
+
+func (s *State) tick() {
+	s.serveWaiting()
+	for _, t := range s.demand {
+		t.decay(s.now)
+	}
+}
--- /dev/null
+++ b/core/relay/wait.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// retryUnknown is when to ask again for a model that no engine knows: it may
+	// come with the next configuration.
+	retryUnknown = 2 * time.Second
+	// retryBudget is when to ask again after the repeats were used up.
+	retryBudget = time.Second
+	// retryNoEndpoint is when to ask again after no endpoint was there: about the
+	// time in which one is replaced.
+	retryNoEndpoint = time.Second
+	// retryPause is the pause before a request goes to endpoints again that have
+	// all turned it away: about as long as a full engine takes to free a slot.
+	retryPause = 100 * time.Millisecond
+	// startMargin is the least time that is left to run a request when it is sent.
+	startMargin = 50 * time.Millisecond
+)
+
+// wait puts a request among those that are not at an endpoint, or refuses it if
+// waiting is of no use.
+func (s *State) wait(r *request) {
+	if !slices.Contains(s.waiting, r) {
+		s.waiting = append(s.waiting, r)
+		slices.SortStableFunc(s.waiting, func(a, b *request) int {
+			return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), a.Deadline.Compare(b.Deadline))
+		})
+	}
+	s.emitWake(r.Deadline)
+	readyAt, reason := s.expected(r)
+	if reason == "" && readyAt.Add(startMargin).Before(r.Deadline) {
+		return
+	}
+	if reason == "" {
+		reason = TooLate
+	}
+	s.refuse(r, reason, s.retryAt(r, readyAt))
+}
+
+// retryAt is when a repeat of a refused request is likely to be served.
+func (s *State) retryAt(r *request, readyAt time.Time) time.Time {
+	if readyAt.IsZero() {
+		return s.now.Add(retryNoEndpoint)
+	}
+	return readyAt
+}
+
+func (s *State) unwait(r *request) {
+	if i := slices.Index(s.waiting, r); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+		s.release(r)
+	}
+}
+
+// serveWaiting goes through the waiting requests in order.
+func (s *State) serveWaiting() {
+	for _, r := range slices.Clone(s.waiting) {
+		if s.requests[r.id] == r && slices.Contains(s.waiting, r) {
+			s.place(r)
+		}
+	}
+}
--- /dev/null
+++ b/core/relay/wants.go
@@ -0,0 +1,299 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+)
+
+const (
+	// ackTime is how long an agent may take to show a load that it was asked for
+	// before another one is asked.
+	ackTime = 600 * time.Millisecond
+	// refreshTime is how often agents are told the traffic again.
+	refreshTime = time.Second
+	// evictCost is added to the time of a load for each request a second that the
+	// model which makes room is asked for, at this router.
+	evictCost = 4 * time.Second
+	// adapterTime is assumed for the load of an adapter.
+	adapterTime = 40 * time.Millisecond
+	// spreadCost tells endpoints apart that are equal otherwise, the same way at
+	// all routers.
+	spreadCost = 200 * time.Millisecond
+	// unloadTime is assumed for an unload before a load.
+	unloadTime = 50 * time.Millisecond
+)
+
+type wantKey struct {
+	service string
+	item    stock.Item
+}
+
+// want is a load that requests wait for.
+type want struct {
+	key      wantKey
+	instance string
+	askedAt  time.Time
+	requests []*request
+	// tried are endpoints that did not take up the load.
+	tried []string
+}
+
+// expected returns when the request can be sent, as far as known, or why not.
+func (s *State) expected(r *request) (time.Time, Reason) {
+	engine := s.table.Engine(r.Service)
+	usable := false
+	for _, e := range s.endpoints {
+		if e.Service != r.Service || e.Leaving {
+			continue
+		}
+		usable = true
+		if s.serves(e, r) {
+			// It is full; its next request ends soon.
+			return s.now, ""
+		}
+	}
+	if !usable || engine == nil || r.Item.Model == "" {
+		return time.Time{}, NoEndpoint
+	}
+	return s.want(r, engine)
+}
+
+// want joins the load that the request needs, or asks for it.
+func (s *State) want(r *request, engine *route.Engine) (time.Time, Reason) {
+	key := wantKey{r.Service, r.Item}
+	w := s.wants[key]
+	if w == nil {
+		w = &want{key: key}
+		s.wants[key] = w
+	}
+	if !slices.Contains(w.requests, r) {
+		w.requests = append(w.requests, r)
+	}
+	if e := s.endpoint(w.instance); w.instance != "" && e != nil {
+		if readyAt, ok := e.Stock.Loading(key.item); ok {
+			return readyAt, ""
+		}
+		if s.now.Before(w.askedAt.Add(ackTime)) {
+			readyAt, _ := s.loadAt(e, key.item, engine)
+			return readyAt, ""
+		}
+		w.tried = append(w.tried, w.instance)
+	}
+	e, readyAt := s.loadPlace(key, engine, w.tried)
+	if e == nil {
+		w.instance, w.tried = "", nil
+		return s.now.Add(retryNoEndpoint), ""
+	}
+	w.instance, w.askedAt = e.Instance, s.now
+	s.emitWake(s.now.Add(ackTime))
+	return readyAt, ""
+}
+
+// loadPlace chooses the endpoint that is to load an item.
+func (s *State) loadPlace(key wantKey, engine *route.Engine, tried []string) (*endpoint, time.Time) {
+	var best *endpoint
+	var bestAt, least time.Time
+	for _, e := range s.endpoints {
+		if e.Service != key.service || e.Leaving || !e.hasAgent || slices.Contains(tried, e.Instance) {
+			continue
+		}
+		readyAt, cost := s.loadAt(e, key.item, engine)
+		spread := xxhash.Sum64String(e.Instance+" "+key.item.Model+" "+key.item.Adapter) % uint64(spreadCost)
+		at := readyAt.Add(cost + time.Duration(spread))
+		if best == nil || at.Before(least) {
+			best, bestAt, least = e, readyAt, at
+		}
+	}
+	return best, bestAt
+}
+
+// loadAt returns when an endpoint would have loaded the item, and what the
+// model that makes room costs besides.
+func (s *State) loadAt(e *endpoint, item stock.Item, engine *route.Engine) (time.Time, time.Duration) {
+	if readyAt, ok := e.Stock.Loading(item); ok {
+		return readyAt, 0
+	}
+	at := s.now
+	if item.Adapter != "" {
+		base := stock.Item{Model: item.Model}
+		if e.Stock.Holds(base) {
+			return at.Add(adapterTime), 0
+		}
+		readyAt, cost := s.loadAt(e, base, engine)
+		return readyAt.Add(adapterTime), cost
+	}
+	for _, l := range e.Stock.Loads {
+		if l.Item.Adapter == "" && l.ReadyAt.After(at) {
+			at = l.ReadyAt
+		}
+	}
+	at = at.Add(s.askedLoads(e, engine))
+	model := engine.Models[item.Model]
+	at = at.Add(loadTime(e, model))
+	if roomFor(e, model, engine) {
+		return at, 0
+	}
+	return at.Add(unloadTime), s.evictCost(e)
+}
+
+// askedLoads is the time of the loads that this router has asked of an endpoint
+// and that its report does not tell of yet.
+func (s *State) askedLoads(e *endpoint, engine *route.Engine) time.Duration {
+	var sum time.Duration
+	for _, w := range s.wants {
+		if w.instance != e.Instance || w.key.item.Adapter != "" {
+			continue
+		}
+		if _, ok := e.Stock.Loading(w.key.item); !ok {
+			sum += loadTime(e, engine.Models[w.key.item.Model])
+		}
+	}
+	return sum
+}
+
+func loadTime(e *endpoint, model route.Model) time.Duration {
+	switch {
+	case slices.Contains(e.Stock.Copies.Memory, model.Name):
+		return model.FromMemory
+	case slices.Contains(e.Stock.Copies.Disk, model.Name):
+		return model.FromDisk
+	default:
+		return model.FromStore
+	}
+}
+
+// roomFor says whether a model fits beside what an endpoint holds.
+func roomFor(e *endpoint, model route.Model, engine *route.Engine) bool {
+	used := model.Size
+	for _, h := range e.Stock.Models {
+		held := engine.Models[h.Model]
+		used += held.Size + float64(len(h.Adapters))*held.AdapterSize
+	}
+	return used <= engine.Memory
+}
+
+// evictCost is the cost of the model that an endpoint would give up: the one
+// that is asked for least.
+func (s *State) evictCost(e *endpoint) time.Duration {
+	least := -1.0
+	for _, h := range e.Stock.Models {
+		rate := 0.0
+		if t := s.demand[h.Model]; t != nil {
+			holders := s.holders(e.Service, stock.Item{Model: h.Model})
+			rate = t.rate / float64(max(holders, 1))
+		}
+		rate += float64(e.models[h.Model])
+		if least < 0 || rate < least {
+			least = rate
+		}
+	}
+	return time.Duration(max(least, 0) * float64(evictCost))
+}
+
+// release takes a request off the load that it waits for.
+func (s *State) release(r *request) {
+	key := wantKey{r.Service, r.Item}
+	w := s.wants[key]
+	if w == nil {
+		return
+	}
+	if i := slices.Index(w.requests, r); i >= 0 {
+		w.requests = slices.Delete(w.requests, i, i+1)
+	}
+	if len(w.requests) == 0 {
+		delete(s.wants, key)
+	}
+}
+
+// checkWants drops loads whose endpoint has dropped them.
+func (s *State) checkWants(e *endpoint) {
+	for _, w := range s.wants {
+		if w.instance == e.Instance && e.Leaving {
+			w.instance = ""
+		}
+	}
+}
+
+// forgetWants has the loads asked of an endpoint asked of others.
+func (s *State) forgetWants(instance string) {
+	for _, w := range s.wants {
+		if w.instance == instance {
+			w.instance = ""
+		}
+	}
+}
+
+// askAgents tells the agents what has changed in what is asked of them.
+func (s *State) askAgents() {
+	refresh := !s.now.Before(s.refreshAt)
+	if refresh {
+		s.refreshAt = s.now.Add(refreshTime)
+	}
+	for _, e := range s.endpoints {
+		if !e.hasAgent || s.table.Engine(e.Service) == nil {
+			continue
+		}
+		wants := s.wantsOf(e)
+		if !refresh && sameWants(wants, e.asked.Wants) {
+			continue
+		}
+		demand := stock.Demand{Wants: wants, Uses: s.usesOf(e)}
+		if len(demand.Wants) == 0 && len(e.asked.Wants) == 0 && slices.Equal(demand.Uses, e.asked.Uses) {
+			continue
+		}
+		e.asked = demand
+		s.emit(Ask{Instance: e.Instance, Demand: demand})
+	}
+}
+
+func (s *State) wantsOf(e *endpoint) []stock.Want {
+	var list []stock.Want
+	for _, w := range s.wants {
+		if w.instance != e.Instance {
+			continue
+		}
+		one := stock.Want{Item: w.key.item, Priority: w.requests[0].Route.Priority, Waiting: len(w.requests)}
+		for _, r := range w.requests {
+			one.Priority = min(one.Priority, r.Route.Priority)
+			if r.Deadline.After(one.Deadline) {
+				one.Deadline = r.Deadline
+			}
+		}
+		list = append(list, one)
+	}
+	slices.SortFunc(list, func(a, b stock.Want) int { return compareItems(a.Item, b.Item) })
+	return list
+}
+
+// sameWants compares what is asked for, whatever the deadlines.
+func sameWants(a, b []stock.Want) bool {
+	return slices.EqualFunc(a, b, func(x, y stock.Want) bool { return x.Item == y.Item })
+}
+
+func (s *State) usesOf(e *endpoint) []stock.Use {
+	list := make([]stock.Use, 0, len(e.Stock.Models))
+	for _, h := range e.Stock.Models {
+		use := stock.Use{Model: h.Model, Running: e.models[h.Model]}
+		use.Holders = s.holders(e.Service, stock.Item{Model: h.Model})
+		if t := s.demand[h.Model]; t != nil {
+			use.Rate = float64(int(t.rate*20)) / 20
+		}
+		list = append(list, use)
+	}
+	return list
+}
+
+func compareItems(a, b stock.Item) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+}
+
+func (s *State) emitWake(at time.Time) {
+	s.emit(event.Wake{At: at})
+}
--- /dev/null
+++ b/core/swap/next.go
@@ -0,0 +1,182 @@
+package swap
+
+import (
+	"slices"
+	"time"
+
+	"chervilreach/core/event"
+	"chervilreach/core/stock"
+)
+
+const (
+	// residence is the least time that a model stays after its load, so that the
+	// requests which asked for it can reach it.
+	residence = 500 * time.Millisecond
+	// unloadTime and adapterTime are assumed until the endpoint shows the result.
+	unloadTime  = 50 * time.Millisecond
+	adapterTime = 40 * time.Millisecond
+	// inUse is the worth of a model that runs requests, in requests a second: it
+	// is given up only if all others are worth more.
+	inUse = 1000.0
+	// lastHolder is how much more the only copy of a model is worth.
+	lastHolder = 2.0
+)
+
+// next orders what is to be done next, if the endpoint can take an order.
+func (s *State) next() {
+	if s.engine == nil || s.token == 0 || s.seenAt.IsZero() || s.order != nil || s.seen.Report.Leaving {
+		return
+	}
+	for _, w := range s.wants() {
+		if s.serve(w) {
+			return
+		}
+	}
+}
+
+// serve orders a step towards a want; it returns false if none is possible now.
+func (s *State) serve(w stock.Want) bool {
+	if w.Item.Adapter == "" {
+		return s.serveModel(w.Item)
+	}
+	base := stock.Item{Model: w.Item.Model}
+	if !s.seen.Report.Holds(base) {
+		return s.serveModel(base)
+	}
+	return s.serveAdapter(w.Item)
+}
+
+func (s *State) serveModel(item stock.Item) bool {
+	model, ok := s.engine.Models[item.Model]
+	if !ok || s.seen.Busy {
+		return false
+	}
+	if s.used()+model.Size <= s.engine.Memory {
+		s.give(Load, item, s.loadTime(item))
+		return true
+	}
+	victim, ok := s.victim(item.Model)
+	if !ok {
+		return false
+	}
+	s.give(Unload, stock.Item{Model: victim}, unloadTime)
+	return true
+}
+
+func (s *State) serveAdapter(item stock.Item) bool {
+	model, ok := s.engine.Models[item.Model]
+	if !ok || slices.Contains(s.seen.Coming, item) {
+		return false
+	}
+	adapters := s.adapters()
+	if len(adapters)+len(s.seen.Coming) < s.engine.AdapterSlots && s.used()+model.AdapterSize <= s.engine.Memory {
+		s.give(Load, item, adapterTime)
+		return true
+	}
+	if len(adapters) == 0 {
+		return false
+	}
+	oldest := slices.MinFunc(adapters, func(a, b stock.Item) int {
+		return s.lastWanted[a].Compare(s.lastWanted[b])
+	})
+	s.give(Unload, oldest, unloadTime)
+	return true
+}
+
+// give sends an order.
+func (s *State) give(op Operation, item stock.Item, takes time.Duration) {
+	s.number++
+	o := Order{
+		Number: s.number, Operation: op, Item: item, Instance: s.seen.Report.Instance,
+		Sequence: s.seen.Sequence, Token: s.token,
+	}
+	s.order = &order{Order: o, sentAt: s.now, doneAt: s.now.Add(takes)}
+	s.note("order-"+string(op), o, "")
+	s.emit(o)
+}
+
+// used is the memory that is taken or may be, in MB.
+func (s *State) used() float64 {
+	sum := 0.0
+	for _, h := range s.seen.Report.Models {
+		model := s.engine.Models[h.Model]
+		sum += model.Size + float64(len(h.Adapters))*model.AdapterSize
+	}
+	for _, item := range s.seen.Coming {
+		sum += s.engine.Models[item.Model].AdapterSize
+	}
+	return sum
+}
+
+func (s *State) adapters() []stock.Item {
+	var list []stock.Item
+	for _, h := range s.seen.Report.Models {
+		for _, a := range h.Adapters {
+			list = append(list, stock.Item{Model: h.Model, Adapter: a})
+		}
+	}
+	return list
+}
+
+// victim chooses the model that makes room: the one whose requests are the
+// fewest for each endpoint that holds it.
+func (s *State) victim(wanted string) (string, bool) {
+	best, least := "", 0.0
+	for _, h := range s.seen.Report.Models {
+		if h.Model == wanted || s.now.Before(s.since[h.Model].Add(residence)) || s.isWanted(h.Model) {
+			continue
+		}
+		if worth := s.worth(h.Model); best == "" || worth < least {
+			best, least = h.Model, worth
+		}
+	}
+	if best == "" {
+		s.emit(event.Wake{At: s.now.Add(pollBusy)})
+	}
+	return best, best != ""
+}
+
+// isWanted says whether an adapter of a model is asked for.
+func (s *State) isWanted(model string) bool {
+	return slices.ContainsFunc(s.wants(), func(w stock.Want) bool { return w.Item.Model == model })
+}
+
+// worth is what keeping a model is worth, in requests a second.
+func (s *State) worth(model string) float64 {
+	rate, holders, running := 0.0, 1, 0
+	for _, d := range s.routers {
+		for _, u := range d.Uses {
+			if u.Model == model {
+				rate += u.Rate
+				running += u.Running
+				holders = max(holders, u.Holders)
+			}
+		}
+	}
+	worth := rate / float64(holders)
+	if holders == 1 {
+		worth *= lastHolder
+	}
+	if running > 0 {
+		worth += inUse * float64(running)
+	}
+	return worth
+}
+
+func (s *State) loadTime(item stock.Item) time.Duration {
+	if item.Adapter != "" && s.seen.Report.Holds(stock.Item{Model: item.Model}) {
+		return adapterTime
+	}
+	if s.engine == nil {
+		return 0
+	}
+	model := s.engine.Models[item.Model]
+	switch {
+	case slices.Contains(s.seen.Report.Copies.Memory, item.Model):
+		return model.FromMemory
+	case slices.Contains(s.seen.Report.Copies.Disk, item.Model):
+		return model.FromDisk
+	default:
+		return model.FromStore
+	}
+}
--- /dev/null
+++ b/core/swap/state.go
@@ -0,0 +1,286 @@
+package swap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+)
+
+const (
+	// pollBusy, pollRunning and pollIdle are the times between questions to the
+	// endpoint while something is ordered or asked for, while it runs requests,
+	// and else. It is on the same host and answers from memory.
+	pollBusy    = 30 * time.Millisecond
+	pollRunning = 100 * time.Millisecond
+	pollIdle    = 300 * time.Millisecond
+	// answerTime bounds the wait for the answer to a question.
+	answerTime = time.Second
+	// publishLoad is the least time between reports that tell only of load.
+	publishLoad = 150 * time.Millisecond
+	// publishIdle is the longest time between reports.
+	publishIdle = time.Second
+	// demandTime is how long a router's demand counts without being renewed.
+	demandTime = 5 * time.Second
+)
+
+// State is an agent's reducer.
+type State struct {
+	engine *route.Engine
+	token  int64
+	seen   Engine
+	// seenAt is when the endpoint was asked for seen; zero when unknown.
+	seenAt  time.Time
+	routers map[uint64]demand
+	order   *order
+	number  uint64
+	// since is when each held model was first seen, and lastWanted when an
+	// adapter was last asked for.
+	since      map[string]time.Time
+	lastWanted map[stock.Item]time.Time
+	polledAt   time.Time
+	polling    bool
+	published  stock.Report
+	publishAt  time.Time
+	effects    []event.Effect
+	now        time.Time
+}
+
+// demand is a router's, with the time until which it counts.
+type demand struct {
+	stock.Demand
+	until time.Time
+}
+
+// order is the one in progress.
+type order struct {
+	Order
+	sentAt   time.Time
+	answered bool
+	accepted bool
+	// doneAt is when it is expected to be done.
+	doneAt time.Time
+}
+
+// New returns the state of an agent that has just started.
+func New() *State {
+	return &State{
+		routers:    make(map[uint64]demand),
+		since:      make(map[string]time.Time),
+		lastWanted: make(map[stock.Item]time.Time),
+	}
+}
+
+// Apply implements event.Reducer.
+func (s *State) Apply(now time.Time, ev event.Event) []event.Effect {
+	s.now, s.effects = now, nil
+	switch ev := ev.(type) {
+	case Observed:
+		s.observed(ev)
+	case Unobserved:
+		s.polling, s.seenAt = false, time.Time{}
+	case Demanded:
+		s.demanded(ev)
+	case Joined:
+		s.routers[ev.Router] = demand{until: now.Add(demandTime)}
+		s.publishAt = now
+	case Left:
+		delete(s.routers, ev.Router)
+	case Ordered:
+		s.ordered(ev)
+	case Adopted:
+		s.engine = ev.Engine
+	case Fenced:
+		s.token = ev.Token
+	}
+	s.settle()
+	s.next()
+	s.poll()
+	s.publish()
+	return s.effects
+}
+
+func (s *State) emit(eff event.Effect) { s.effects = append(s.effects, eff) }
+
+func (s *State) note(change string, o Order, detail string) {
+	model := o.Item.Model
+	if o.Item.Adapter != "" {
+		model += "/" + o.Item.Adapter
+	}
+	s.emit(event.Note{Change: change, Model: model, Endpoint: o.Instance, Detail: detail})
+}
+
+func (s *State) observed(ev Observed) {
+	s.polling = false
+	if ev.AskedAt.Before(s.seenAt) {
+		return
+	}
+	if ev.Engine.Born != s.seen.Born || ev.Engine.Report.Instance != s.seen.Report.Instance {
+		s.order = nil
+		s.since = make(map[string]time.Time)
+	}
+	s.seen, s.seenAt = ev.Engine, ev.AskedAt
+	held := make(map[string]time.Time, len(s.since))
+	for _, h := range s.seen.Report.Models {
+		at, ok := s.since[h.Model]
+		if !ok {
+			at = s.now
+		}
+		held[h.Model] = at
+	}
+	s.since = held
+}
+
+func (s *State) demanded(ev Demanded) {
+	s.routers[ev.Router] = demand{Demand: ev.Demand, until: s.now.Add(demandTime)}
+	for _, w := range ev.Demand.Wants {
+		if w.Item.Adapter != "" {
+			s.lastWanted[w.Item] = s.now
+		}
+	}
+}
+
+func (s *State) ordered(ev Ordered) {
+	o := s.order
+	if o == nil || o.Number != ev.Number {
+		return
+	}
+	o.answered = true
+	s.note("order-answered", o.Order, string(ev.Answer))
+	switch ev.Answer {
+	case Accepted:
+		o.accepted = true
+	case Holds:
+		o.accepted = true
+	default:
+		s.order = nil
+	}
+	// What the endpoint said before it took the order is out of date.
+	s.seenAt = time.Time{}
+}
+
+// settle ends the order in progress once the endpoint has carried it out.
+func (s *State) settle() {
+	o := s.order
+	if o == nil || !o.answered || s.seenAt.IsZero() {
+		return
+	}
+	if s.seen.Busy && o.Item.Adapter == "" || slices.Contains(s.seen.Coming, o.Item) {
+		return
+	}
+	s.order = nil
+}
+
+// poll asks the endpoint for its state when that is due.
+func (s *State) poll() {
+	if s.polling && s.now.Before(s.polledAt.Add(answerTime)) {
+		s.wake(s.polledAt.Add(answerTime))
+		return
+	}
+	every := pollIdle
+	if s.seen.Report.Running > 0 {
+		every = pollRunning
+	}
+	if s.order != nil || len(s.wants()) > 0 {
+		every = pollBusy
+	}
+	at := s.polledAt.Add(every)
+	if s.now.Before(at) {
+		s.wake(at)
+		return
+	}
+	s.polling, s.polledAt = true, s.now
+	s.emit(Poll{})
+}
+
+func (s *State) wake(at time.Time) { s.emit(event.Wake{At: at}) }
+
+// publish tells the routers what has changed.
+func (s *State) publish() {
+	if s.seen.Report.Instance == "" || len(s.routers) == 0 {
+		return
+	}
+	r := s.seen.Report
+	r.Routers = len(s.routers)
+	r.Loads = s.loads()
+	old := &s.published
+	sinceLast := s.now.Sub(s.publishAt)
+	news := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
+		!slices.EqualFunc(r.Models, old.Models, sameHeld) || !slices.EqualFunc(r.Loads, old.Loads, sameLoad)
+	moved := r.Running != old.Running || r.Waiting != old.Waiting
+	if !news && (!moved || sinceLast < publishLoad) && sinceLast < publishIdle {
+		return
+	}
+	s.published, s.publishAt = r, s.now
+	s.emit(Publish{Report: r})
+}
+
+func sameHeld(a, b stock.Held) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+func sameLoad(a, b stock.Load) bool { return a.Item == b.Item }
+
+// loads lists the load in progress and those that wait.
+func (s *State) loads() []stock.Load {
+	var list []stock.Load
+	at := s.now
+	if o := s.order; o != nil {
+		at = o.doneAt
+		if o.Operation == Load {
+			list = append(list, stock.Load{Item: o.Item, ReadyAt: at})
+		}
+	}
+	for _, w := range s.wants() {
+		if s.order != nil && s.order.Item == w.Item {
+			continue
+		}
+		at = at.Add(s.loadTime(w.Item))
+		list = append(list, stock.Load{Item: w.Item, ReadyAt: at})
+	}
+	return list
+}
+
+// wants merges what all routers ask for and the endpoint does not hold, the
+// most urgent first.
+func (s *State) wants() []stock.Want {
+	merged := make(map[stock.Item]stock.Want)
+	for id, d := range s.routers {
+		if s.now.After(d.until) {
+			s.routers[id] = demand{until: d.until}
+			continue
+		}
+		for _, w := range d.Wants {
+			if s.seen.Report.Holds(w.Item) || s.now.After(w.Deadline) {
+				continue
+			}
+			merged[w.Item] = mergeWants(merged[w.Item], w)
+		}
+	}
+	list := make([]stock.Want, 0, len(merged))
+	for _, w := range merged {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b stock.Want) int {
+		return cmp.Or(
+			cmp.Compare(a.Priority, b.Priority), a.Deadline.Compare(b.Deadline),
+			cmp.Compare(a.Item.Model, b.Item.Model), cmp.Compare(a.Item.Adapter, b.Item.Adapter),
+		)
+	})
+	return list
+}
+
+func mergeWants(a, b stock.Want) stock.Want {
+	if a.Waiting == 0 {
+		return b
+	}
+	a.Priority = min(a.Priority, b.Priority)
+	a.Waiting += b.Waiting
+	if b.Deadline.Before(a.Deadline) {
+		a.Deadline = b.Deadline
+	}
+	return a
+}
--- /dev/null
+++ b/io/conns/pool.go
@@ -0,0 +1,205 @@
+// Package conns keeps connections to endpoints. Each carries one request at a
+// time, is never used for a request after a doubt about what it carries, and
+// sends nothing again by itself.
+package conns
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Errors that callers test with errors.Is.
+var (
+	// ErrUnreachable says that no connection could be made; nothing was sent.
+	ErrUnreachable = errors.New("endpoint can't be reached")
+	// ErrStale says that a kept connection had ended before it was used.
+	ErrStale = errors.New("kept connection has ended")
+)
+
+const (
+	// dialTime bounds the making of a connection: a lost packet is sent again
+	// after a second, so that a second try by hand is faster.
+	dialTime = 500 * time.Millisecond
+	// keepTime is how long a connection is kept whose other end names no time.
+	keepTime = 4 * time.Second
+	// keepMargin is how long before the other end's time a connection is given up.
+	keepMargin = 500 * time.Millisecond
+	// maxIdle bounds the kept connections to one endpoint.
+	maxIdle = 32
+	// readBuffer is the buffer for what an endpoint sends, in bytes.
+	readBuffer = 8 << 10
+)
+
+// keepAlive finds connections whose other end or path is gone.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     time.Second,
+	Interval: 500 * time.Millisecond,
+	Count:    3,
+}
+
+// Pool keeps idle connections by address.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*Conn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: make(map[netip.AddrPort][]*Conn)}
+}
+
+// Conn is a connection that carries one request at a time.
+type Conn struct {
+	net.Conn
+	r    *bufio.Reader
+	addr netip.AddrPort
+	// kept says that an earlier request used the connection.
+	kept  bool
+	until time.Time
+}
+
+// Kept says whether an earlier request used the connection.
+func (c *Conn) Kept() bool { return c.kept }
+
+// Get returns a kept connection that is still good, or a new one. Errors wrap
+// ErrUnreachable.
+func (p *Pool) Get(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+	for {
+		c := p.take(addr)
+		if c == nil {
+			return dial(ctx, addr)
+		}
+		if time.Now().Before(c.until) && c.quiet() {
+			c.kept = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) take(addr netip.AddrPort) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func dial(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTime, KeepAliveConfig: keepAlive}
+	raw, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrUnreachable, err)
+	}
+	return &Conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer), addr: addr}, nil
+}
+
+// quiet says whether an idle connection is open and has nothing to read: bytes
+// that come while no request waits belong to none.
+func (c *Conn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Put keeps a connection for the next request after a whole answer, if the
+// answer allows it and nothing follows.
+func (p *Pool) Put(c *Conn, resp *http.Response) {
+	if resp.Close || c.r.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	keep := keepTime
+	if named, ok := keepAliveTime(resp.Header.Get("Keep-Alive")); ok {
+		keep = named - keepMargin
+	}
+	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
+		_ = c.Close()
+		return
+	}
+	c.until = time.Now().Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.addr]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// Prune closes the connections that have been idle for too long.
+func (p *Pool) Prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		rest := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) {
+				rest = append(rest, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(rest) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = rest
+	}
+}
+
+// Read reads the head of the answer to a request with the method. Interim
+// answers are passed over.
+func (c *Conn) Read(method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
+// Skip reads past the body of an answer that belongs to another request.
+func Skip(resp *http.Response, most int64) error {
+	n, err := io.CopyN(io.Discard, resp.Body, most)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("skip answer: %w", err)
+	}
+	return fmt.Errorf("skip answer: more than %d bytes", n)
+}
--- /dev/null
+++ b/io/mirror/mirror.go
@@ -0,0 +1,230 @@
+// Package mirror keeps a copy of the keys under a prefix of the platform's store
+// through outages, lost history and lapsed leases.
+package mirror
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// ErrCompacted says that the store no longer has the history that was asked for.
+var ErrCompacted = errors.New("history is gone")
+
+const (
+	// watchTime is how long a watch waits for a change.
+	watchTime = 25 * time.Second
+	// readTime bounds one read.
+	readTime = time.Second
+	// retryFirst and retryMost are the pauses after failed calls.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+	// returnTime is how long after an outage the entries of live writers may take
+	// to come back: the platform says two seconds.
+	returnTime = 2200 * time.Millisecond
+	// lapsedTime bounds how long a removed entry is kept after an outage: below the
+	// time in which a removed endpoint must get no more requests.
+	lapsedTime = 1500 * time.Millisecond
+)
+
+// Item is one key. A nil value says that the key is gone.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Range returns all keys under a prefix and a revision from which a watch
+	// misses no later change.
+	Range(ctx context.Context, prefix string) ([]Item, int64, error)
+	// Watch waits for changes after the revision. It returns them and the revision
+	// to go on from; errors wrap ErrCompacted.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+}
+
+// Options are the parts of a mirror.
+type Options struct {
+	Store  Store
+	Prefix string
+	// Pace is the least time between two watches: changes that come meanwhile are
+	// read by one call.
+	Pace time.Duration
+	Log  zerolog.Logger
+	// Changed gets the whole copy after each change.
+	Changed func(image map[string][]byte)
+}
+
+// Mirror is the copy.
+type Mirror struct {
+	opts Options
+	// image is what callers see: entries whose writers may return are in it.
+	image  map[string][]byte
+	lapsed map[string]time.Time
+	next   int64
+	// lostAt and backAt tell of the last outage.
+	lostAt, backAt time.Time
+	known          bool
+}
+
+// New returns an empty mirror.
+func New(opts Options) *Mirror {
+	return &Mirror{opts: opts, image: make(map[string][]byte), lapsed: make(map[string]time.Time)}
+}
+
+// Run keeps the copy until the context ends.
+func (m *Mirror) Run(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		if err == nil {
+			pause = retryFirst
+			m.sleep(ctx, m.opts.Pace)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		m.lost(err)
+		m.sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMost)
+	}
+}
+
+func (m *Mirror) sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// step reads everything, or waits for a change.
+func (m *Mirror) step(ctx context.Context) error {
+	if m.next == 0 {
+		return m.readAll(ctx)
+	}
+	wait := watchTime
+	if at, ok := m.nextLapse(); ok {
+		wait = max(time.Until(at), time.Millisecond)
+	}
+	items, next, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.next, wait)
+	if errors.Is(err, ErrCompacted) {
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("store history lost, reading all")
+		m.next = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	m.back()
+	m.next = max(next, m.next)
+	m.apply(items)
+	return nil
+}
+
+func (m *Mirror) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	items, next, err := m.opts.Store.Range(ctx, m.opts.Prefix)
+	if err != nil {
+		return err
+	}
+	m.back()
+	m.next = next
+	found := make(map[string]bool, len(items))
+	for _, it := range items {
+		found[it.Key] = true
+	}
+	for key := range m.image {
+		if !found[key] {
+			items = append(items, Item{Key: key})
+		}
+	}
+	first := !m.known
+	m.known = true
+	if changed := m.apply(items); !changed && first {
+		m.opts.Changed(maps.Clone(m.image))
+	}
+	return nil
+}
+
+// apply takes in changes and tells of them; it returns whether there were any.
+func (m *Mirror) apply(items []Item) bool {
+	now := time.Now()
+	changed := false
+	for _, it := range items {
+		if it.Value != nil {
+			delete(m.lapsed, it.Key)
+			changed = changed || !bytes.Equal(m.image[it.Key], it.Value)
+			m.image[it.Key] = it.Value
+			continue
+		}
+		if _, held := m.image[it.Key]; !held {
+			continue
+		}
+		if until := m.returnUntil(now); now.Before(until) {
+			m.lapsed[it.Key] = until
+			continue
+		}
+		delete(m.image, it.Key)
+		changed = true
+	}
+	for key, at := range m.lapsed {
+		if !now.Before(at) {
+			delete(m.lapsed, key)
+			delete(m.image, key)
+			changed = true
+		}
+	}
+	if changed {
+		m.opts.Changed(maps.Clone(m.image))
+	}
+	return changed
+}
+
+// returnUntil is until when an entry that was removed may come back.
+func (m *Mirror) returnUntil(now time.Time) time.Time {
+	if m.backAt.IsZero() {
+		return time.Time{}
+	}
+	until := m.backAt.Add(returnTime)
+	if most := now.Add(lapsedTime); most.Before(until) && now.Before(until) {
+		return most
+	}
+	return until
+}
+
+func (m *Mirror) nextLapse() (time.Time, bool) {
+	var least time.Time
+	for _, at := range m.lapsed {
+		if least.IsZero() || at.Before(least) {
+			least = at
+		}
+	}
+	return least, !least.IsZero()
+}
+
+func (m *Mirror) lost(err error) {
+	if !m.lostAt.IsZero() {
+		return
+	}
+	m.lostAt = time.Now()
+	m.opts.Log.Warn().Err(err).Str("dependency", "store").Str("prefix", m.opts.Prefix).Msg("dependency lost")
+}
+
+func (m *Mirror) back() {
+	if m.lostAt.IsZero() {
+		return
+	}
+	m.backAt = time.Now()
+	m.opts.Log.Info().Str("dependency", "store").Dur("away", m.backAt.Sub(m.lostAt)).Msg("dependency regained")
+	m.lostAt = time.Time{}
+}
--- /dev/null
+++ b/io/node/relay.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"chervilreach/config"
+	"chervilreach/core/event"
+	"chervilreach/core/relay"
+	"chervilreach/core/route"
+	"chervilreach/io/line"
+	"chervilreach/io/logs"
+	"chervilreach/io/mirror"
+	"chervilreach/io/relayd"
+)
+
+const (
+	// callerHeader bounds how long a caller may take to send its headers.
+	callerHeader = 5 * time.Second
+	// callerIdle is how long a caller's connection may stay idle: longer than
+	// operators let callers keep them.
+	callerIdle = 75 * time.Second
+	// leaveTime is how long a stopping router still takes in requests, so that the
+	// balancer sees that it is not ready and callers learn that their connections
+	// end.
+	leaveTime = 3500 * time.Millisecond
+)
+
+// Platform is what a process needs of the users' platform.
+type Platform struct {
+	Store   mirror.Store
+	Dialect relayd.Dialect
+	// Prefix covers the keys that a router follows.
+	Prefix string
+	// Image reads copies of the store.
+	Image Image
+	// AgentOf returns where the agent beside an endpoint listens.
+	AgentOf func(m relay.Member) netip.AddrPort
+	// ReadyPath is what the balancer asks for.
+	ReadyPath string
+}
+
+// Image reads copies of the store.
+type Image interface {
+	Routes(image map[string][]byte) *route.Table
+	Members(image map[string][]byte) []relay.Member
+}
+
+// Relay is a router process on the platform.
+type Relay struct {
+	cfg    *config.Gate
+	plat   Platform
+	log    *logs.Log
+	daemon *relayd.Daemon
+	mirror *mirror.Mirror
+	calls  *http.Server
+	ready  *http.Server
+	stop   context.CancelFunc
+	failed chan error
+}
+
+// NewRelay puts a router together from settings that are complete for one.
+func NewRelay(cfg *config.Gate, log *logs.Log, platform Platform) *Relay {
+	r := &Relay{cfg: cfg, plat: platform, log: log, failed: make(chan error, 2)}
+	clock := &event.Clock{}
+	r.daemon = relayd.New(relayd.Options{
+		Settings: relay.Settings{
+			Zone:       string(cfg.Process.FailureDomain),
+			RetryRatio: cfg.Retries.Ratio, RetryExtra: cfg.Retries.Extra, RetryWindow: cfg.Retries.Window,
+		},
+		Dialect: platform.Dialect, Log: log.Logger, Clock: clock,
+		Recorder:  newLine(cfg, log, clock),
+		AgentOf:   platform.AgentOf,
+		MaxBodies: int64(cfg.Callers.MaxBodies),
+	})
+	r.calls = &http.Server{
+		Handler: r.daemon, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, ErrorLog: nil,
+	}
+	r.ready = &http.Server{Handler: http.HandlerFunc(r.answerReady), ReadHeaderTimeout: callerHeader}
+	return r
+}
+
+// newLine returns the time line of a process on a small host.
+func newLine(cfg *config.Gate, log *logs.Log, clock *event.Clock) *line.Recorder {
+	limits := line.DefaultLimits()
+	return line.New(cfg.Process.ID, clock, limits, line.WithMetrics(metrics.NewRegistry()), line.WithLog(log.Logger))
+}
+
+func (r *Relay) answerReady(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path != r.plat.ReadyPath {
+		http.NotFound(w, req)
+		return
+	}
+	if !r.daemon.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Start begins to serve.
+func (r *Relay) Start(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	if err := r.listen(ctx, r.ready, r.cfg.Callers.Ready); err != nil {
+		return err
+	}
+	if err := r.listen(ctx, r.calls, r.cfg.Callers.Listen); err != nil {
+		return err
+	}
+	go r.daemon.Run(ctx)
+	r.mirror = mirror.New(mirror.Options{
+		Store: r.plat.Store, Prefix: r.plat.Prefix, Pace: r.cfg.Store.Pace, Log: r.log.Logger,
+		Changed: func(image map[string][]byte) { r.changed(ctx, image) },
+	})
+	go r.mirror.Run(ctx)
+	r.log.Info().Stringer("callers", r.cfg.Callers.Listen).Msg("started")
+	return nil
+}
+
+func (r *Relay) changed(ctx context.Context, image map[string][]byte) {
+	if t := r.plat.Image.Routes(image); t != nil {
+		r.daemon.Adopt(t)
+	}
+	r.daemon.SetMembers(ctx, r.plat.Image.Members(image))
+}
+
+func (r *Relay) listen(ctx context.Context, s *http.Server, addr netip.AddrPort) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			r.failed <- fmt.Errorf("serve %s: %w", addr, err)
+		}
+	}()
+	return nil
+}
+
+// Failed tells of the first failure of a server.
+func (r *Relay) Failed() <-chan error { return r.failed }
+
+// Stop has the balancer send callers elsewhere, goes on serving open connections
+// for a while, and waits for the requests in progress.
+func (r *Relay) Stop(ctx context.Context) error {
+	r.daemon.Leave()
+	r.log.Info().Int("in-progress", r.daemon.InProgress()).Msg("stopping")
+	defer r.stop()
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveTime):
+	}
+	if err := r.calls.Shutdown(ctx); err != nil {
+		r.log.Warn().Err(err).Int("in-progress", r.daemon.InProgress()).Msg("stopped with requests in progress")
+		return fmt.Errorf("finish requests: %w", err)
+	}
+	r.log.Info().Msg("stopped")
+	return nil
+}
+
+// NewGateLog returns the log of a process on the platform, and bounds the
+// memory that the runtime takes.
+func NewGateLog(cfg *config.Gate, w io.Writer) (*logs.Log, error) {
+	if cfg.Process.Memory > 0 {
+		debug.SetMemoryLimit(int64(cfg.Process.Memory) / 2)
+	}
+	log, err := logs.New(w, cfg.Process.ID, cfg.Log.Level, func(int) {})
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	return log, nil
+}
--- /dev/null
+++ b/io/node/swap.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"chervilreach/config"
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/io/logs"
+	"chervilreach/io/mirror"
+	"chervilreach/io/swapd"
+)
+
+const (
+	// fenceRetry is the pause before the fencing number is asked for again.
+	fenceRetry = 300 * time.Millisecond
+	// configPace is the least time between two reads of the operator's keys.
+	configPace = 500 * time.Millisecond
+)
+
+// SwapPlatform is what an agent needs of the users' platform.
+type SwapPlatform struct {
+	Store    mirror.Store
+	Endpoint swapd.Endpoint
+	// Prefix covers the operator's keys.
+	Prefix string
+	// Routes reads a copy of the store.
+	Routes func(image map[string][]byte) *route.Table
+	// Fence returns a number that is higher than that of any agent of the endpoint
+	// before.
+	Fence func(ctx context.Context) (int64, error)
+}
+
+// Swap is the process of an agent on the platform.
+type Swap struct {
+	cfg    *config.Gate
+	plat   SwapPlatform
+	log    *logs.Log
+	daemon *swapd.Daemon
+	stop   context.CancelFunc
+	failed chan error
+}
+
+// NewSwap puts an agent together from settings that are complete for one.
+func NewSwap(cfg *config.Gate, log *logs.Log, platform SwapPlatform) *Swap {
+	clock := &event.Clock{}
+	return &Swap{
+		cfg: cfg, plat: platform, log: log, failed: make(chan error, 1),
+		daemon: swapd.New(swapd.Options{
+			Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: newLine(cfg, log, clock),
+		}),
+	}
+}
+
+// Start begins to follow the endpoint and to serve routers.
+func (s *Swap) Start(ctx context.Context) error {
+	ctx, s.stop = context.WithCancel(ctx)
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", s.cfg.Process.Wire.String())
+	if err != nil {
+		return fmt.Errorf("listen for routers: %w", err)
+	}
+	go func() {
+		if err := s.daemon.Peer().Listen(ctx, l); err != nil && !errors.Is(err, net.ErrClosed) {
+			s.failed <- err
+		}
+	}()
+	go s.daemon.Run(ctx)
+	go s.fence(ctx)
+	m := mirror.New(mirror.Options{
+		Store: s.plat.Store, Prefix: s.plat.Prefix, Pace: configPace, Log: s.log.Logger,
+		Changed: s.changed,
+	})
+	go m.Run(ctx)
+	s.log.Info().Stringer("endpoint", s.cfg.Endpoint.Address).Msg("started")
+	return nil
+}
+
+func (s *Swap) changed(image map[string][]byte) {
+	if t := s.plat.Routes(image); t != nil {
+		s.daemon.Adopt(t.Engine(s.cfg.Endpoint.Service))
+	}
+}
+
+// fence asks for the fencing number until it has one.
+func (s *Swap) fence(ctx context.Context) {
+	for ctx.Err() == nil {
+		token, err := s.plat.Fence(ctx)
+		if err == nil {
+			s.log.Info().Int64("token", token).Msg("fenced")
+			s.daemon.Fence(token)
+			return
+		}
+		s.log.Warn().Err(err).Msg("no fencing number yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(fenceRetry):
+		}
+	}
+}
+
+// Failed tells of the failure of the listener.
+func (s *Swap) Failed() <-chan error { return s.failed }
+
+// Stop ends the agent at once: orders that the endpoint has taken go on without
+// it.
+func (s *Swap) Stop(context.Context) error {
+	s.log.Info().Msg("stopped")
+	s.stop()
+	return nil
+}
--- /dev/null
+++ b/io/relayd/agents.go
@@ -0,0 +1,186 @@
+package relayd
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"chervilreach/core/relay"
+	"chervilreach/core/stock"
+	"chervilreach/io/wire"
+	"chervilreach/io/wire/wirepb"
+)
+
+const (
+	// redialFirst and redialMost are the pauses before a connection to an agent is
+	// made again: short, as requests for models that are not loaded wait for it.
+	redialFirst = 100 * time.Millisecond
+	redialMost  = 2 * time.Second
+	// asksQueued bounds the demands that wait for a slow connection; each replaces
+	// the one before.
+	asksQueued = 1
+	// reportTime is the longest silence of an agent that still counts as connected;
+	// agents report every second.
+	reportTime = 4 * time.Second
+)
+
+// agents are the connections to the agents beside the endpoints on the list.
+type agents struct {
+	d    *Daemon
+	peer *wire.Peer
+	mu   sync.Mutex
+	open map[string]*agent
+}
+
+// agent is the connection to one.
+type agent struct {
+	instance string
+	addr     netip.AddrPort
+	asks     chan stock.Demand
+	stop     context.CancelFunc
+}
+
+func newAgents(d *Daemon) *agents {
+	a := &agents{d: d, open: make(map[string]*agent)}
+	a.peer = d.peer()
+	return a
+}
+
+// follow connects to the agents of the endpoints on the list and lets go of the
+// others.
+func (a *agents) follow(ctx context.Context, list []relay.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, m := range list {
+		addr := a.d.opts.AgentOf(m)
+		if !addr.IsValid() {
+			continue
+		}
+		listed[m.Instance] = true
+		if a.open[m.Instance] != nil {
+			continue
+		}
+		ctx, stop := context.WithCancel(ctx)
+		one := &agent{instance: m.Instance, addr: addr, asks: make(chan stock.Demand, asksQueued), stop: stop}
+		a.open[m.Instance] = one
+		go a.keep(ctx, one)
+	}
+	for id, one := range a.open {
+		if !listed[id] {
+			one.stop()
+			delete(a.open, id)
+		}
+	}
+}
+
+// ask sends a demand; an older one that still waits is replaced.
+func (a *agents) ask(eff relay.Ask) {
+	a.mu.Lock()
+	one := a.open[eff.Instance]
+	a.mu.Unlock()
+	if one == nil {
+		return
+	}
+	for {
+		select {
+		case one.asks <- eff.Demand:
+			return
+		default:
+		}
+		select {
+		case <-one.asks:
+		default:
+		}
+	}
+}
+
+// keep connects again and again until the endpoint is gone.
+func (a *agents) keep(ctx context.Context, one *agent) {
+	pause := redialFirst
+	for ctx.Err() == nil {
+		begun := time.Now()
+		err := a.converse(ctx, one)
+		if ctx.Err() != nil {
+			return
+		}
+		a.d.loop.Post(relay.AgentLost{Instance: one.instance})
+		a.d.log.Info().Err(err).Str("endpoint", one.instance).Stringer("address", one.addr).
+			Msg("agent not connected")
+		if time.Since(begun) > redialMost {
+			pause = redialFirst
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, redialMost)
+	}
+}
+
+// converse exchanges demands and reports until the connection fails.
+func (a *agents) converse(ctx context.Context, one *agent) error {
+	conn, err := a.peer.Dial(ctx, one.addr)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	s, err := conn.Open()
+	if err != nil {
+		return err
+	}
+	if err := s.Send(demandFrame(stock.Demand{})); err != nil {
+		return err
+	}
+	go sendAsks(conn, s, one)
+	return a.receive(s, one)
+}
+
+func sendAsks(conn *wire.Conn, s *wire.Stream, one *agent) {
+	for {
+		select {
+		case <-conn.Done():
+			return
+		case d := <-one.asks:
+			if err := s.Send(demandFrame(d)); err != nil {
+				// Reading the same stream fails too and reports the cause.
+				_ = conn.Close()
+				return
+			}
+		}
+	}
+}
+
+func demandFrame(d stock.Demand) *wirepb.Frame {
+	return &wirepb.Frame{Body: &wirepb.Frame_Demand{Demand: wire.EncodeDemand(time.Now(), d)}}
+}
+
+func (a *agents) receive(s *wire.Stream, one *agent) error {
+	var last stock.Report
+	connected := false
+	for {
+		if err := s.SetReadDeadline(time.Now().Add(reportTime)); err != nil {
+			return err
+		}
+		f, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		body := f.GetStock()
+		if body == nil {
+			return wire.ErrUnexpected
+		}
+		last = wire.DecodeStock(time.Now(), body, last)
+		if last.Instance != one.instance {
+			continue
+		}
+		if !connected {
+			connected = true
+			a.d.log.Info().Str("endpoint", one.instance).Msg("agent connected")
+		}
+		a.d.loop.Post(relay.Reported{Report: last})
+	}
+}
--- /dev/null
+++ b/io/relayd/daemon.go
@@ -0,0 +1,174 @@
+// Package relayd runs a router that sends callers' requests straight to
+// endpoints: it carries out what package relay decides.
+package relayd
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilreach/core/event"
+	"chervilreach/core/relay"
+	"chervilreach/core/route"
+	"chervilreach/io/conns"
+	"chervilreach/io/loop"
+	"chervilreach/io/wire"
+)
+
+// pruneTime is how often idle connections are looked through.
+const pruneTime = time.Second
+
+// Options are the parts of a daemon.
+type Options struct {
+	Settings relay.Settings
+	Dialect  Dialect
+	Log      zerolog.Logger
+	Recorder loop.Recorder
+	Clock    *event.Clock
+	// AgentOf returns where the agent beside an endpoint listens; the address is
+	// invalid if none is to be expected.
+	AgentOf func(m relay.Member) netip.AddrPort
+	// MaxBodies is the most memory for the bodies of all requests in progress, in
+	// bytes.
+	MaxBodies int64
+}
+
+// Daemon is a router's daemon.
+type Daemon struct {
+	opts    Options
+	log     zerolog.Logger
+	loop    *loop.Loop
+	pool    *conns.Pool
+	table   atomic.Pointer[route.Table]
+	known   atomic.Bool
+	leaving atomic.Bool
+	agents  *agents
+	bodies  atomic.Int64
+
+	mu        sync.Mutex
+	last      relay.RequestID
+	exchanges map[relay.RequestID]*exchange
+}
+
+// New returns a daemon that has not been started.
+func New(opts Options) *Daemon {
+	d := &Daemon{
+		opts: opts, log: opts.Log, pool: conns.NewPool(),
+		exchanges: make(map[relay.RequestID]*exchange),
+	}
+	d.loop = loop.New(relay.New(opts.Settings), opts.Recorder)
+	d.agents = newAgents(d)
+	return d
+}
+
+// Run runs the daemon until the context ends.
+func (d *Daemon) Run(ctx context.Context) {
+	go d.prune(ctx)
+	d.loop.Run(ctx, executor{d, ctx})
+}
+
+func (d *Daemon) prune(ctx context.Context) {
+	ticker := time.NewTicker(pruneTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.pool.Prune(now)
+		}
+	}
+}
+
+// Adopt puts a table in force unless a newer one is.
+func (d *Daemon) Adopt(t *route.Table) {
+	for {
+		old := d.table.Load()
+		if old != nil && old.Version >= t.Version {
+			return
+		}
+		if d.table.CompareAndSwap(old, t) {
+			break
+		}
+	}
+	d.log.Info().Int64("version", t.Version).Msg("routes adopted")
+	d.loop.Post(relay.Adopted{Table: t})
+}
+
+// SetMembers takes in the whole list of endpoints.
+func (d *Daemon) SetMembers(ctx context.Context, list []relay.Member) {
+	d.known.Store(true)
+	d.loop.Post(relay.Members{List: list})
+	d.agents.follow(ctx, list)
+}
+
+// Ready says whether callers may be sent here.
+func (d *Daemon) Ready() bool {
+	return !d.leaving.Load() && d.known.Load() && d.table.Load() != nil
+}
+
+// Leave has callers told that their connections end with the next answer.
+func (d *Daemon) Leave() { d.leaving.Store(true) }
+
+// InProgress returns how many requests have no final answer.
+func (d *Daemon) InProgress() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.exchanges)
+}
+
+// Peer returns this process's end of the connections to agents.
+func (d *Daemon) peer() *wire.Peer {
+	return wire.NewPeer(self{d}, d.opts.Clock, nobody{})
+}
+
+// executor carries out effects.
+type executor struct {
+	d   *Daemon
+	ctx context.Context
+}
+
+// Do implements loop.Executor.
+func (x executor) Do(eff event.Effect) {
+	switch eff := eff.(type) {
+	case relay.Send:
+		x.d.tell(eff.ID, eff)
+	case relay.Refuse:
+		x.d.tell(eff.ID, eff)
+	case relay.Fail:
+		x.d.tell(eff.ID, eff)
+	case relay.Deliver:
+		x.d.tell(eff.ID, eff)
+	case relay.Ask:
+		x.d.agents.ask(eff)
+	}
+}
+
+// tell hands an effect to the goroutine of its request.
+func (d *Daemon) tell(id relay.RequestID, eff event.Effect) {
+	d.mu.Lock()
+	x := d.exchanges[id]
+	d.mu.Unlock()
+	if x == nil {
+		return
+	}
+	x.commands <- eff
+}
+
+func (d *Daemon) open(x *exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last++
+	x.id = d.last
+	d.exchanges[x.id] = x
+}
+
+func (d *Daemon) close(x *exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.exchanges, x.id)
+}
--- /dev/null
+++ b/io/relayd/exchange.go
@@ -0,0 +1,296 @@
+package relayd
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chervilreach/core/relay"
+	"chervilreach/core/route"
+	"chervilreach/io/conns"
+)
+
+const (
+	// commandsQueued is the most commands that a request is given before it has
+	// carried out the first: one, and the answer when its deadline passes.
+	commandsQueued = 4
+	// wholeBody is the longest answer that is read before any of it is passed on,
+	// in bytes, so that a failed attempt can be repeated unseen.
+	wholeBody = 256 << 10
+	// foreignMost bounds the answers to other requests that are passed over, and
+	// foreignBody each one's length in bytes.
+	foreignMost = 3
+	foreignBody = 1 << 20
+	// writeTime is the longest time that a caller may take to read a part of the
+	// answer.
+	writeTime = 10 * time.Second
+)
+
+// errAbandoned is the cause of a context that ends as the caller has left.
+var errAbandoned = errors.New("caller has left")
+
+// exchange is one request from a caller, with its answer.
+type exchange struct {
+	d        *Daemon
+	id       relay.RequestID
+	w        http.ResponseWriter
+	r        *http.Request
+	body     []byte
+	route    *route.Route
+	request  relay.Request
+	commands chan any
+	// callerDeadline is when the caller gives up; zero if it does not say.
+	callerDeadline time.Time
+	// headed says that the head of the answer has been passed on.
+	headed bool
+	// last is the last event passed on.
+	last    int64
+	version int64
+	// failure is the endpoint's own failure of the last attempt.
+	failure *wholeAnswer
+}
+
+// wholeAnswer is an answer that has been read to its end.
+type wholeAnswer struct {
+	head *http.Response
+	body []byte
+}
+
+// run carries out commands until the request has its final answer.
+func (x *exchange) run(ctx context.Context) {
+	x.d.open(x)
+	defer x.d.close(x)
+	x.d.loop.Post(relay.Arrive{ID: x.id, Request: x.request})
+	for {
+		select {
+		case <-ctx.Done():
+			x.d.loop.Post(relay.Gone{ID: x.id})
+			x.log("left", "caller has left")
+			return
+		case cmd := <-x.commands:
+			if x.carryOut(ctx, cmd) {
+				return
+			}
+		}
+	}
+}
+
+// carryOut returns whether the request has its final answer.
+func (x *exchange) carryOut(ctx context.Context, cmd any) bool {
+	switch cmd := cmd.(type) {
+	case relay.Send:
+		return x.attempt(ctx, cmd)
+	case relay.Refuse:
+		x.log("refused", string(cmd.Reason))
+		refuse(x.w, http.StatusServiceUnavailable, max(time.Until(cmd.RetryAt), 0), string(cmd.Reason))
+	case relay.Fail:
+		x.log("failed", string(cmd.Reason))
+		x.fail(cmd.Reason)
+	case relay.Deliver:
+		x.log("endpoint-failed", "")
+		x.deliver(x.failure)
+	}
+	return true
+}
+
+// fail ends an answer that may have run.
+func (x *exchange) fail(reason relay.Reason) {
+	if x.headed {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusBadGateway
+	if reason == relay.OutOfTime {
+		status = http.StatusGatewayTimeout
+	}
+	http.Error(x.w, string(reason), status)
+}
+
+// attempt sends the request to an endpoint and passes on the answer. It returns
+// true if that was the final answer.
+func (x *exchange) attempt(ctx context.Context, send relay.Send) bool {
+	if x.route.Kind == route.Unsafe {
+		// What must not run twice and has begun is left to end.
+		ctx = context.WithoutCancel(ctx)
+	}
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
+	defer cancel()
+	ended := relay.Ended{ID: x.id}
+	err := x.exchangeWith(ctx, send, &ended)
+	ended.LastEvent, ended.Version, ended.Answering = x.last, x.version, x.headed
+	switch {
+	case errors.Is(err, errAbandoned):
+		ended.Result = relay.Abandoned
+	case ended.Result == relay.Done || ended.Result == relay.Unsent || ctx.Err() == nil:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		ended.Result = relay.Expired
+	default:
+		ended.Result = relay.Abandoned
+	}
+	x.logAttempt(send, ended, began, err)
+	x.d.loop.Post(ended)
+	if ended.Result == relay.Done || ended.Result == relay.Abandoned {
+		if ended.Result == relay.Abandoned && x.headed {
+			panic(http.ErrAbortHandler)
+		}
+		return true
+	}
+	return false
+}
+
+// exchangeWith makes one attempt and sets how it ended.
+func (x *exchange) exchangeWith(ctx context.Context, send relay.Send, ended *relay.Ended) error {
+	ended.Result = relay.Unsent
+	c, err := x.d.pool.Get(ctx, send.Address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	keep := false
+	defer func() {
+		if !stop() || !keep {
+			_ = c.Close()
+		}
+	}()
+	if n, err := c.Write(x.encode(send)); err != nil {
+		if n > 0 {
+			ended.Result = relay.Broken
+		}
+		return fmt.Errorf("send request: %w", err)
+	}
+	ended.Result = relay.Broken
+	resp, verdict, err := x.readHead(c)
+	if err != nil {
+		return err
+	}
+	if verdict.Result != "" {
+		ended.Result = verdict.Result
+		keep = conns.Skip(resp, foreignBody) == nil
+	} else {
+		keep, err = x.passOn(resp, verdict, ended)
+	}
+	if keep && stop() {
+		x.d.pool.Put(c, resp)
+		return err
+	}
+	keep = false
+	return err
+}
+
+// encode writes the request as the endpoint gets it.
+func (x *exchange) encode(send relay.Send) []byte {
+	h := x.r.Header.Clone()
+	conns.StripHop(h)
+	h.Del("Content-Length")
+	x.d.opts.Dialect.Mark(h, send, time.Until(send.Deadline))
+	var b bytes.Buffer
+	b.Grow(len(x.body) + 1024)
+	b.WriteString(x.r.Method + " " + x.r.RequestURI + " HTTP/1.1\r\nHost: " + x.r.Host + "\r\n")
+	if len(x.body) > 0 || x.r.ContentLength != 0 || x.r.Method == http.MethodPost {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(x.body)) + "\r\n")
+	}
+	// Writing to a buffer does not fail.
+	_ = h.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(x.body)
+	return b.Bytes()
+}
+
+// readHead reads the head of the answer to this request. Answers to earlier
+// requests on the connection are passed over.
+func (x *exchange) readHead(c *conns.Conn) (*http.Response, Verdict, error) {
+	for range foreignMost {
+		resp, err := c.Read(x.r.Method)
+		if err != nil {
+			return nil, Verdict{}, err
+		}
+		verdict := x.d.opts.Dialect.Judge(x.request.Attempt, resp)
+		if !verdict.Foreign {
+			return resp, verdict, nil
+		}
+		if err := conns.Skip(resp, foreignBody); err != nil {
+			return nil, verdict, err
+		}
+	}
+	return nil, Verdict{}, errors.New("answers belong to other requests")
+}
+
+// passOn passes on an answer. It returns whether the connection may be kept.
+func (x *exchange) passOn(resp *http.Response, verdict Verdict, ended *relay.Ended) (bool, error) {
+	x.version = verdict.Version
+	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
+		err := x.passStream(resp)
+		if err == nil {
+			ended.Result = relay.Done
+		}
+		return err == nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeBody+1))
+	if err != nil {
+		return false, fmt.Errorf("read answer: %w", err)
+	}
+	if len(body) > wholeBody {
+		return x.passLong(resp, body, ended)
+	}
+	answer := &wholeAnswer{head: resp, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		x.failure = answer
+		ended.Result = relay.Failed
+		return true, nil
+	}
+	x.d.loop.Post(relay.Begun{ID: x.id})
+	x.deliver(answer)
+	ended.Result = relay.Done
+	return true, nil
+}
+
+// passLong passes on an answer that is too long to be read first.
+func (x *exchange) passLong(resp *http.Response, begin []byte, ended *relay.Ended) (bool, error) {
+	x.head(resp)
+	x.w.WriteHeader(resp.StatusCode)
+	if _, err := x.w.Write(begin); err != nil {
+		return false, fmt.Errorf("pass on answer: %w: %w", errAbandoned, err)
+	}
+	if _, err := io.Copy(x.w, resp.Body); err != nil {
+		return false, fmt.Errorf("pass on answer: %w", err)
+	}
+	ended.Result = relay.Done
+	return true, nil
+}
+
+// deliver passes on a whole answer.
+func (x *exchange) deliver(a *wholeAnswer) {
+	if x.headed {
+		panic(http.ErrAbortHandler)
+	}
+	x.head(a.head)
+	if x.r.Method != http.MethodHead {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	x.w.WriteHeader(a.head.StatusCode)
+	if _, err := x.w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		x.log("left", err.Error())
+	}
+}
+
+// head copies the head of an answer.
+func (x *exchange) head(resp *http.Response) {
+	conns.StripHop(resp.Header)
+	h := x.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// No type must be made up.
+		h["Content-Type"] = nil
+	}
+	if x.d.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	x.headed = true
+}
--- /dev/null
+++ b/io/swapd/daemon.go
@@ -0,0 +1,253 @@
+// Package swapd runs the agent of an endpoint that routers send requests to
+// directly: it carries out what package swap decides.
+package swapd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+	"chervilreach/core/swap"
+	"chervilreach/io/loop"
+	"chervilreach/io/wire"
+	"chervilreach/io/wire/wirepb"
+)
+
+const (
+	// askTime bounds a question to the endpoint, orderTime an order.
+	askTime   = 500 * time.Millisecond
+	orderTime = 700 * time.Millisecond
+	// reportsQueued bounds the reports that wait for a slow connection; each
+	// replaces the one before.
+	reportsQueued = 1
+	// demandTime is the longest silence of a router that still counts as connected.
+	demandTime = time.Minute
+)
+
+// Endpoint is the endpoint beside the agent.
+type Endpoint interface {
+	// Observe returns what the endpoint says of itself.
+	Observe(ctx context.Context) (swap.Engine, error)
+	// Order sends an order.
+	Order(ctx context.Context, o swap.Order) (swap.Answer, error)
+}
+
+// Options are the parts of a daemon.
+type Options struct {
+	Endpoint Endpoint
+	Log      zerolog.Logger
+	Recorder loop.Recorder
+	Clock    *event.Clock
+}
+
+// Daemon is an agent's daemon.
+type Daemon struct {
+	opts Options
+	log  zerolog.Logger
+	loop *loop.Loop
+
+	mu      sync.Mutex
+	last    uint64
+	routers map[uint64]chan stock.Report
+	latest  stock.Report
+	// silent says that the endpoint did not answer last.
+	silent bool
+}
+
+// New returns a daemon that has not been started.
+func New(opts Options) *Daemon {
+	return &Daemon{
+		opts: opts, log: opts.Log, loop: loop.New(swap.New(), opts.Recorder),
+		routers: make(map[uint64]chan stock.Report),
+	}
+}
+
+// Run runs the daemon until the context ends.
+func (d *Daemon) Run(ctx context.Context) {
+	d.loop.Run(ctx, executor{d, ctx})
+}
+
+// Adopt takes in what the endpoint's engine can hold; nil for nothing.
+func (d *Daemon) Adopt(e *route.Engine) { d.loop.Post(swap.Adopted{Engine: e}) }
+
+// Fence takes in the agent's fencing number.
+func (d *Daemon) Fence(token int64) { d.loop.Post(swap.Fenced{Token: token}) }
+
+// Peer returns this process's end of the connections from routers.
+func (d *Daemon) Peer() *wire.Peer { return wire.NewPeer(self{}, d.opts.Clock, d) }
+
+// self says nothing of this process: agents are followed by their reports.
+type self struct{}
+
+// Hello implements wire.Self.
+func (self) Hello() *wirepb.Hello { return &wirepb.Hello{} }
+
+// Revision implements wire.Self.
+func (self) Revision() int64 { return 0 }
+
+// Serve implements wire.Handler: it exchanges demands and reports with a router.
+func (d *Daemon) Serve(_ context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
+	defer func() { _ = s.Close() }()
+	if first.GetHello() != nil {
+		d.greet(s)
+		return
+	}
+	if first.GetDemand() == nil {
+		return
+	}
+	id, reports := d.join()
+	d.loop.Post(swap.Joined{Router: id})
+	defer func() {
+		d.leave(id)
+		d.loop.Post(swap.Left{Router: id})
+	}()
+	go d.send(c, s, reports)
+	for f := first; f != nil; f = d.receive(s) {
+		body := f.GetDemand()
+		if body == nil {
+			return
+		}
+		d.loop.Post(swap.Demanded{Router: id, Demand: wire.DecodeDemand(time.Now(), body)})
+	}
+}
+
+// greet answers a hello and keeps the stream until the other end closes it.
+func (d *Daemon) greet(s *wire.Stream) {
+	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: self{}.Hello()}}); err != nil {
+		d.log.Info().Err(err).Msg("router lost at its hello")
+		return
+	}
+	for {
+		if _, err := s.Recv(); err != nil {
+			return
+		}
+	}
+}
+
+func (d *Daemon) receive(s *wire.Stream) *wirepb.Frame {
+	err := s.SetReadDeadline(time.Now().Add(demandTime))
+	if err != nil {
+		return nil
+	}
+	f, err := s.Recv()
+	if err != nil {
+		d.log.Info().Err(err).Msg("router not connected")
+		return nil
+	}
+	return f
+}
+
+func (d *Daemon) send(c *wire.Conn, s *wire.Stream, reports <-chan stock.Report) {
+	var last stock.Report
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-s.Done():
+			return
+		case r := <-reports:
+			f := &wirepb.Frame{Body: &wirepb.Frame_Stock{Stock: wire.EncodeStock(time.Now(), r, last)}}
+			if err := s.Send(f); err != nil {
+				// Reading the same stream fails too and reports the cause.
+				_ = c.Close()
+				return
+			}
+			last = r
+		}
+	}
+}
+
+func (d *Daemon) join() (uint64, <-chan stock.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last++
+	reports := make(chan stock.Report, reportsQueued)
+	d.routers[d.last] = reports
+	if d.latest.Instance != "" {
+		reports <- d.latest
+	}
+	return d.last, reports
+}
+
+func (d *Daemon) leave(id uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.routers, id)
+}
+
+// publish hands a report to all routers; an older one that still waits is
+// replaced.
+func (d *Daemon) publish(r stock.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.latest = r
+	for _, reports := range d.routers {
+		select {
+		case <-reports:
+		default:
+		}
+		reports <- r
+	}
+}
+
+// executor carries out effects.
+type executor struct {
+	d   *Daemon
+	ctx context.Context
+}
+
+// Do implements loop.Executor.
+func (x executor) Do(eff event.Effect) {
+	switch eff := eff.(type) {
+	case swap.Poll:
+		go x.d.observe(x.ctx)
+	case swap.Order:
+		go x.d.order(x.ctx, eff)
+	case swap.Publish:
+		x.d.publish(eff.Report)
+	}
+}
+
+func (d *Daemon) observe(ctx context.Context) {
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	engine, err := d.opts.Endpoint.Observe(ctx)
+	d.noteEndpoint(err)
+	if err != nil {
+		d.loop.Post(swap.Unobserved{Reason: err.Error()})
+		return
+	}
+	d.loop.Post(swap.Observed{AskedAt: asked, Engine: engine})
+}
+
+// noteEndpoint logs when the endpoint stops answering and when it answers again.
+func (d *Daemon) noteEndpoint(err error) {
+	d.mu.Lock()
+	changed := d.silent != (err != nil)
+	d.silent = err != nil
+	d.mu.Unlock()
+	if !changed {
+		return
+	}
+	if err != nil {
+		d.log.Warn().Err(err).Str("dependency", "endpoint").Msg("dependency lost")
+		return
+	}
+	d.log.Info().Str("dependency", "endpoint").Msg("dependency regained")
+}
+
+func (d *Daemon) order(ctx context.Context, o swap.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	answer, err := d.opts.Endpoint.Order(ctx, o)
+	d.log.Info().Err(err).Uint64("order", o.Number).Str("operation", string(o.Operation)).
+		Str("model", o.Item.Model).Str("adapter", o.Item.Adapter).Str("endpoint", o.Instance).
+		Int64("sequence", o.Sequence).Str("outcome", string(answer)).Msg("order")
+	d.loop.Post(swap.Ordered{Number: o.Number, Answer: answer})
+}
--- /dev/null
+++ b/io/wire/stock.go
@@ -0,0 +1,98 @@
+package wire
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"chervilreach/core/stock"
+	"chervilreach/io/wire/wirepb"
+)
+
+// EncodeDemand writes a demand with what is left of its deadlines.
+func EncodeDemand(now time.Time, d stock.Demand) *wirepb.Demand {
+	return &wirepb.Demand{
+		Wants: lo.Map(d.Wants, func(w stock.Want, _ int) *wirepb.Want {
+			return &wirepb.Want{
+				Model: w.Item.Model, Adapter: w.Item.Adapter, Priority: int32(w.Priority),
+				RemainingUs: w.Deadline.Sub(now).Microseconds(), Waiting: uint32(w.Waiting),
+			}
+		}),
+		Uses: lo.Map(d.Uses, func(u stock.Use, _ int) *wirepb.Use {
+			return &wirepb.Use{
+				Model: u.Model, Running: uint32(u.Running), RateMilli: uint32(u.Rate * 1000), Holders: uint32(u.Holders),
+			}
+		}),
+	}
+}
+
+// DecodeDemand reads a demand; its deadlines are on the receiver's clock.
+func DecodeDemand(now time.Time, d *wirepb.Demand) stock.Demand {
+	return stock.Demand{
+		Wants: lo.Map(d.GetWants(), func(w *wirepb.Want, _ int) stock.Want {
+			return stock.Want{
+				Item: stock.Item{Model: w.GetModel(), Adapter: w.GetAdapter()}, Priority: int(w.GetPriority()),
+				Deadline: now.Add(micros(w.GetRemainingUs())), Waiting: int(w.GetWaiting()),
+			}
+		}),
+		Uses: lo.Map(d.GetUses(), func(u *wirepb.Use, _ int) stock.Use {
+			return stock.Use{
+				Model: u.GetModel(), Running: int(u.GetRunning()), Rate: float64(u.GetRateMilli()) / 1000,
+				Holders: int(u.GetHolders()),
+			}
+		}),
+	}
+}
+
+// EncodeStock writes a report, without its copies if they are those of last.
+func EncodeStock(now time.Time, r, last stock.Report) *wirepb.Stock {
+	s := &wirepb.Stock{
+		Instance: r.Instance, Address: r.Address.String(), Leaving: r.Leaving,
+		Running: uint32(r.Running), Waiting: uint32(r.Waiting),
+		KvUsed: uint32(r.KVUsed), KvTotal: uint32(r.KVTotal), Routers: uint32(r.Routers),
+		Models: lo.Map(r.Models, func(h stock.Held, _ int) *wirepb.Loaded {
+			return &wirepb.Loaded{Model: h.Model, Version: h.Version, Adapters: h.Adapters}
+		}),
+		Loads: lo.Map(r.Loads, func(l stock.Load, _ int) *wirepb.Loading {
+			return &wirepb.Loading{
+				Model: l.Item.Model, Adapter: l.Item.Adapter, RemainingUs: l.ReadyAt.Sub(now).Microseconds(),
+			}
+		}),
+	}
+	same := slices.Equal(r.Copies.Memory, last.Copies.Memory) && slices.Equal(r.Copies.Disk, last.Copies.Disk)
+	if !same || r.Instance != last.Instance {
+		s.Copied = &wirepb.Copied{Memory: r.Copies.Memory, Disk: r.Copies.Disk}
+	}
+	return s
+}
+
+// DecodeStock reads a report; times are on the receiver's clock. The copies are
+// those of last where the message leaves them out. An address that can't be read
+// is the invalid one.
+func DecodeStock(now time.Time, s *wirepb.Stock, last stock.Report) stock.Report {
+	addr, err := netip.ParseAddrPort(s.GetAddress())
+	if err != nil {
+		addr = netip.AddrPort{}
+	}
+	r := stock.Report{
+		Instance: s.GetInstance(), Address: addr, Leaving: s.GetLeaving(),
+		Running: int(s.GetRunning()), Waiting: int(s.GetWaiting()),
+		KVUsed: int(s.GetKvUsed()), KVTotal: int(s.GetKvTotal()), Routers: int(s.GetRouters()),
+		Models: lo.Map(s.GetModels(), func(h *wirepb.Loaded, _ int) stock.Held {
+			return stock.Held{Model: h.GetModel(), Version: h.GetVersion(), Adapters: h.GetAdapters()}
+		}),
+		Loads: lo.Map(s.GetLoads(), func(l *wirepb.Loading, _ int) stock.Load {
+			item := stock.Item{Model: l.GetModel(), Adapter: l.GetAdapter()}
+			return stock.Load{Item: item, ReadyAt: now.Add(micros(l.GetRemainingUs()))}
+		}),
+		Copies: last.Copies,
+	}
+	if c := s.GetCopied(); c != nil {
+		r.Copies = stock.Copies{Memory: c.GetMemory(), Disk: c.GetDisk()}
+	}
+	return r
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
