--- a/core/swap/events.go
+++ b/core/swap/events.go
@@ -21,6 +21,15 @@
 	Report stock.Report
 }
 
+// Restarted says whether an endpoint has started again between two observations:
+// it counts orders from 0 again, or has lost what it held without an order.
+func Restarted(last, now Engine) bool {
+	if now.Born != last.Born || now.Sequence < last.Sequence {
+		return true
+	}
+	return now.Sequence == last.Sequence && len(now.Report.Models) < len(last.Report.Models) && !last.Busy
+}
+
 // Observed brings what the endpoint has said of itself.
 type Observed struct {
 	// AskedAt is when it was asked.
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -31,7 +31,9 @@
 
 // Endpoint is the endpoint beside the agent.
 type Endpoint interface {
-	// Observe returns what the endpoint says of itself.
+	// Identify returns the name of the endpoint's present incarnation.
+	Identify(ctx context.Context) (string, error)
+	// Observe returns what the endpoint says of itself, but for its name.
 	Observe(ctx context.Context) (swap.Engine, error)
 	// Order sends an order.
 	Order(ctx context.Context, o swap.Order) (swap.Answer, error)
@@ -57,6 +59,9 @@
 	latest  stock.Report
 	// silent says that the endpoint did not answer last.
 	silent bool
+	// seen is what the endpoint said last under its present name; the name is empty
+	// when it has to be asked for again.
+	seen swap.Engine
 }
 
 // New returns a daemon that has not been started.
@@ -217,7 +222,7 @@
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	engine, err := d.opts.Endpoint.Observe(ctx)
+	engine, err := d.observeNamed(ctx)
 	d.noteEndpoint(err)
 	if err != nil {
 		d.loop.Post(swap.Unobserved{Reason: err.Error()})
@@ -226,6 +231,27 @@
 	d.loop.Post(swap.Observed{AskedAt: asked, Engine: engine})
 }
 
+// observeNamed asks for the endpoint's name too when it may have changed.
+func (d *Daemon) observeNamed(ctx context.Context) (swap.Engine, error) {
+	d.mu.Lock()
+	last := d.seen
+	d.mu.Unlock()
+	engine, err := d.opts.Endpoint.Observe(ctx)
+	if err == nil && (last.Report.Instance == "" || swap.Restarted(last, engine)) {
+		engine.Report.Instance, err = d.opts.Endpoint.Identify(ctx)
+		d.log.Info().Err(err).Str("endpoint", engine.Report.Instance).Msg("endpoint identified")
+	} else {
+		engine.Report.Instance = last.Report.Instance
+	}
+	if err != nil {
+		engine = swap.Engine{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen = engine
+	return engine, err
+}
+
 // noteEndpoint logs when the endpoint stops answering and when it answers again.
 func (d *Daemon) noteEndpoint(err error) {
 	d.mu.Lock()
