relay: ask for more copies of models that are asked for often

Cause: model shifts left busy models on one or two endpoints; reading their prompts stalled the streams there for longer than 300 ms. Ruled out: the first event (p50 159 ms).

--- a/config/gate.go
+++ b/config/gate.go
@@ -26,7 +26,10 @@
 type GateStore struct {
 	Address netip.AddrPort `json:"address" need:"router,agent"`
 	// Pace is the least time between two reads of changes.
-	Pace time.Duration `json:"pace" default:"400ms"`
+	Pace time.Duration `json:"pace" default:"300ms"`
+	// Wait is how long a read waits for changes. With the pace it stays below the
+	// two seconds within which a change must be in force.
+	Wait time.Duration `json:"wait" default:"1s"`
 }
 
 // GateCallers is the section "callers": how a router serves callers.
@@ -76,6 +79,7 @@
 	c.Process.check(&f)
 	c.Log.check(&f)
 	f.between("store.pace", c.Store.Pace, 10*time.Millisecond, 10*time.Second)
+	f.between("store.wait", c.Store.Wait, 10*time.Millisecond, 30*time.Second)
 	f.between("retries.window", c.Retries.Window, 100*time.Millisecond, time.Hour)
 	if c.Retries.Ratio < 0 || c.Retries.Ratio > 1 {
 		f.add(ErrBadValue, "retries.ratio", "between 0 and 1")
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -39,6 +39,9 @@
 	now     time.Time
 	// refreshAt is when all agents are told the demand again.
 	refreshAt time.Time
+	// copies are the wishes for one more copy, looked at again at spreadAt.
+	copies   []copyWant
+	spreadAt time.Time
 }
 
 // request is one in progress.
@@ -101,6 +104,7 @@
 	case event.Tick:
 		s.tick()
 	}
+	s.spread()
 	s.askAgents()
 	return s.effects
 }
@@ -114,7 +118,7 @@
 	s.requests[ev.ID] = r
 	s.budget.request(s.now, r.Service)
 	if r.Item.Model != "" {
-		s.traffic(r.Item.Model).arrive(s.now)
+		s.countTraffic(r)
 	}
 	s.place(r)
 }
@@ -288,7 +292,4 @@
 
 func (s *State) tick() {
 	s.serveWaiting()
-	for _, t := range s.demand {
-		t.decay(s.now)
-	}
 }
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -268,6 +268,11 @@
 		}
 		list = append(list, one)
 	}
+	for _, c := range s.copies {
+		if c.instance == e.Instance && !slices.ContainsFunc(list, func(w stock.Want) bool { return w.Item == c.want.Item }) {
+			list = append(list, c.want)
+		}
+	}
 	slices.SortFunc(list, func(a, b stock.Want) int { return compareItems(a.Item, b.Item) })
 	return list
 }
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -80,8 +80,11 @@
 	Priority int
 	// Deadline is when the load is of no use any more.
 	Deadline time.Time
-	// Waiting is how many requests wait.
+	// Waiting is how many requests wait; 0 for one more copy of a model that others
+	// hold, which is loaded only if what makes room is worth less.
 	Waiting int
+	// Rate is how many requests a second one more copy would take, of all routers.
+	Rate float64
 }
 
 // Use is a router's traffic for one model.
--- a/core/swap/next.go
+++ b/core/swap/next.go
@@ -18,6 +18,9 @@
 	// inUse is the worth of a model that runs requests, in requests a second: it
 	// is given up only if all others are worth more.
 	inUse = 1000.0
+	// copyMargin is how much more one more copy must be worth than what makes room
+	// for it, so that copies don't change places.
+	copyMargin = 1.5
 	// lastHolder is how much more the only copy of a model is worth.
 	lastHolder = 2.0
 )
@@ -37,16 +40,18 @@
 // serve orders a step towards a want; it returns false if none is possible now.
 func (s *State) serve(w stock.Want) bool {
 	if w.Item.Adapter == "" {
-		return s.serveModel(w.Item)
+		return s.serveModel(w)
 	}
 	base := stock.Item{Model: w.Item.Model}
 	if !s.seen.Report.Holds(base) {
-		return s.serveModel(base)
+		w.Item = base
+		return s.serveModel(w)
 	}
 	return s.serveAdapter(w.Item)
 }
 
-func (s *State) serveModel(item stock.Item) bool {
+func (s *State) serveModel(w stock.Want) bool {
+	item := w.Item
 	model, ok := s.engine.Models[item.Model]
 	if !ok || s.seen.Busy {
 		return false
@@ -56,7 +61,7 @@
 		return true
 	}
 	victim, ok := s.victim(item.Model)
-	if !ok {
+	if !ok || w.Waiting == 0 && s.worth(victim)*copyMargin > w.Rate {
 		return false
 	}
 	s.give(Unload, stock.Item{Model: victim}, unloadTime)
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -274,9 +274,10 @@
 }
 
 func mergeWants(a, b stock.Want) stock.Want {
-	if a.Waiting == 0 {
+	if a.Deadline.IsZero() {
 		return b
 	}
+	a.Rate = max(a.Rate, b.Rate)
 	a.Priority = min(a.Priority, b.Priority)
 	a.Waiting += b.Waiting
 	if b.Deadline.Before(a.Deadline) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -17,8 +17,6 @@
 var ErrCompacted = errors.New("history is gone")
 
 const (
-	// watchTime is how long a watch waits for a change.
-	watchTime = 25 * time.Second
 	// readTime bounds one read.
 	readTime = time.Second
 	// retryFirst and retryMost are the pauses after failed calls.
@@ -53,6 +51,9 @@
 type Options struct {
 	Store  Store
 	Prefix string
+	// Wait is how long a watch waits for a change. A watch may fall silent for good
+	// while new ones work, so that it bounds how late a change is seen.
+	Wait time.Duration
 	// Pace is the least time between two watches: changes that come meanwhile are
 	// read by one call.
 	Pace time.Duration
@@ -111,7 +112,7 @@
 	if m.next == 0 {
 		return m.readAll(ctx)
 	}
-	wait := watchTime
+	wait := m.opts.Wait
 	if at, ok := m.nextLapse(); ok {
 		wait = max(time.Until(at), time.Millisecond)
 	}
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -32,7 +32,9 @@
 	// leaveTime is how long a stopping router still takes in requests, so that the
 	// balancer sees that it is not ready and callers learn that their connections
 	// end.
-	leaveTime = 3500 * time.Millisecond
+	leaveTime = 2900 * time.Millisecond
+	// stopMargin is left of the time for stopping when requests are cut off.
+	stopMargin = 300 * time.Millisecond
 )
 
 // Platform is what a process needs of the users' platform.
@@ -118,7 +120,7 @@
 	}
 	go r.daemon.Run(ctx)
 	r.mirror = mirror.New(mirror.Options{
-		Store: r.plat.Store, Prefix: r.plat.Prefix, Pace: r.cfg.Store.Pace, Log: r.log.Logger,
+		Store: r.plat.Store, Prefix: r.plat.Prefix, Pace: r.cfg.Store.Pace, Wait: r.cfg.Store.Wait, Log: r.log.Logger,
 		Changed: func(image map[string][]byte) { r.changed(ctx, image) },
 	})
 	go r.mirror.Run(ctx)
@@ -156,6 +158,11 @@
 	r.daemon.Leave()
 	r.log.Info().Int("in-progress", r.daemon.InProgress()).Msg("stopping")
 	defer r.stop()
+	if at, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, at.Add(-stopMargin))
+		defer cancel()
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(leaveTime):
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -20,6 +20,9 @@
 	fenceRetry = 300 * time.Millisecond
 	// configPace is the least time between two reads of the operator's keys.
 	configPace = 500 * time.Millisecond
+	// configWait bounds how late an agent sees what its engine may hold; nothing
+	// that callers see depends on it.
+	configWait = 10 * time.Second
 )
 
 // SwapPlatform is what an agent needs of the users' platform.
@@ -72,7 +75,7 @@
 	go s.daemon.Run(ctx)
 	go s.fence(ctx)
 	m := mirror.New(mirror.Options{
-		Store: s.plat.Store, Prefix: s.plat.Prefix, Pace: configPace, Log: s.log.Logger,
+		Store: s.plat.Store, Prefix: s.plat.Prefix, Pace: configPace, Wait: configWait, Log: s.log.Logger,
 		Changed: s.changed,
 	})
 	go m.Run(ctx)
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -151,35 +151,41 @@
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	keep := false
-	defer func() {
-		if !stop() || !keep {
-			_ = c.Close()
-		}
-	}()
+	resp, err := x.converse(c, send, ended)
+	if stop() && resp != nil {
+		x.d.pool.Put(c, resp)
+		return err
+	}
+	_ = c.Close()
+	return err
+}
+
+// converse sends the request on a connection and passes on the answer. It
+// returns the answer if the connection may be kept.
+func (x *exchange) converse(c *conns.Conn, send relay.Send, ended *relay.Ended) (*http.Response, error) {
 	if n, err := c.Write(x.encode(send)); err != nil {
 		if n > 0 {
 			ended.Result = relay.Broken
 		}
-		return fmt.Errorf("send request: %w", err)
+		return nil, fmt.Errorf("send request: %w", err)
 	}
 	ended.Result = relay.Broken
 	resp, verdict, err := x.readHead(c)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	keep := false
 	if verdict.Result != "" {
 		ended.Result = verdict.Result
-		keep = conns.Skip(resp, foreignBody) == nil
+		err = conns.Skip(resp, foreignBody)
+		keep = err == nil
 	} else {
 		keep, err = x.passOn(resp, verdict, ended)
 	}
-	if keep && stop() {
-		x.d.pool.Put(c, resp)
-		return err
+	if !keep {
+		return nil, err
 	}
-	keep = false
-	return err
+	return resp, err
 }
 
 // encode writes the request as the endpoint gets it.
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -18,6 +18,7 @@
 			return &wirepb.Want{
 				Model: w.Item.Model, Adapter: w.Item.Adapter, Priority: int32(w.Priority),
 				RemainingUs: w.Deadline.Sub(now).Microseconds(), Waiting: uint32(w.Waiting),
+				RateMilli: uint32(w.Rate * 1000),
 			}
 		}),
 		Uses: lo.Map(d.Uses, func(u stock.Use, _ int) *wirepb.Use {
@@ -35,6 +36,7 @@
 			return stock.Want{
 				Item: stock.Item{Model: w.GetModel(), Adapter: w.GetAdapter()}, Priority: int(w.GetPriority()),
 				Deadline: now.Add(micros(w.GetRemainingUs())), Waiting: int(w.GetWaiting()),
+				Rate: float64(w.GetRateMilli()) / 1000,
 			}
 		}),
 		Uses: lo.Map(d.GetUses(), func(u *wirepb.Use, _ int) stock.Use {
