--- a/core/relay/spread.go
+++ b/core/relay/spread.go
@@ -21,8 +21,8 @@
 	spreadUntil = 5 * time.Second
 )
 
-// spread asks for one more copy of each model whose holders are too few for the
-// requests, one at a time.
+// spread asks for more copies of each model whose holders are too few for the
+// requests.
 func (s *State) spread() {
 	if s.now.Before(s.spreadAt) {
 		return
@@ -36,9 +36,7 @@
 		if engine == nil {
 			continue
 		}
-		if c, ok := s.oneMore(name, t, engine); ok {
-			s.copies = append(s.copies, c)
-		}
+		s.addCopies(name, t, engine)
 	}
 }
 
@@ -48,27 +46,30 @@
 	want     stock.Want
 }
 
-func (s *State) oneMore(name string, t *traffic, engine *route.Engine) (copyWant, bool) {
+func (s *State) addCopies(name string, t *traffic, engine *route.Engine) {
 	item := stock.Item{Model: name}
+	rate := max(t.rate, t.surge) * float64(s.budget.routers)
 	holders := s.holders(t.service, item)
-	rate := t.rate * float64(s.budget.routers)
-	if holders == 0 || holders >= s.holdersFor(t, rate) || s.isLoading(t.service, item) {
-		return copyWant{}, false
+	if holders == 0 {
+		// Whoever needs the first copy waits for it and asks.
+		return
 	}
-	var tried []string
+	var passed []string
 	for _, e := range s.endpoints {
-		if e.Stock.Holds(item) || !hasCopy(e, name) {
-			tried = append(tried, e.Instance)
+		if _, loading := e.Stock.Loading(item); loading || e.Stock.Holds(item) || !hasCopy(e, name) {
+			passed = append(passed, e.Instance)
 		}
 	}
-	e, _ := s.loadPlace(wantKey{t.service, item}, engine, tried)
-	if e == nil {
-		return copyWant{}, false
-	}
-	want := stock.Want{
-		Item: item, Priority: math.MaxInt16, Deadline: s.now.Add(spreadUntil), Rate: rate / float64(holders+1),
+	for n := holders + s.loading(t.service, item); n < s.holdersFor(t, rate); n++ {
+		e, _ := s.loadPlace(wantKey{t.service, item}, engine, passed)
+		if e == nil {
+			return
+		}
+		passed = append(passed, e.Instance)
+		s.copies = append(s.copies, copyWant{e.Instance, stock.Want{
+			Item: item, Priority: math.MaxInt16, Deadline: s.now.Add(spreadUntil), Rate: rate / float64(n+1),
+		}})
 	}
-	return copyWant{e.Instance, want}, true
 }
 
 // holdersFor returns how many endpoints the requests for a model keep busy.
@@ -91,11 +92,15 @@
 	return max(sum/float64(n), 1)
 }
 
-func (s *State) isLoading(service string, item stock.Item) bool {
-	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool {
-		_, ok := e.Stock.Loading(item)
-		return ok && e.Service == service && !e.Leaving
-	})
+// loading returns how many endpoints load the item.
+func (s *State) loading(service string, item stock.Item) int {
+	n := 0
+	for _, e := range s.endpoints {
+		if _, ok := e.Stock.Loading(item); ok && e.Service == service && !e.Leaving {
+			n++
+		}
+	}
+	return n
 }
 
 func hasCopy(e *endpoint, model string) bool {
--- a/core/relay/traffic.go
+++ b/core/relay/traffic.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// rateSpan is the time constant of the rates of requests: long enough to see
-// models that are asked for every few seconds, short enough to follow a shift.
-const rateSpan = 20 * time.Second
+const (
+	// rateSpan is the time constant of the rates by which models are kept: long
+	// enough to see models that are asked for every few seconds.
+	rateSpan = 20 * time.Second
+	// surgeSpan is that of the rates by which copies are added: short, so that they
+	// are there soon after demand has moved.
+	surgeSpan = 3 * time.Second
+)
 
 // tokensWeight is the weight of the latest prompt in the mean length.
 const tokensWeight = 0.1
@@ -16,8 +21,8 @@
 type traffic struct {
 	service string
 	// rate is in requests a second.
-	rate float64
-	at   time.Time
+	rate, surge float64
+	at          time.Time
 	// tokens is the mean length of the prompts.
 	tokens float64
 }
@@ -31,11 +36,14 @@
 	}
 	t.decay(s.now)
 	t.rate += 1 / rateSpan.Seconds()
+	t.surge += 1 / surgeSpan.Seconds()
 	t.tokens += tokensWeight * (float64(r.TokensIn) - t.tokens)
 }
 
 // decay brings the rate up to the present.
 func (t *traffic) decay(now time.Time) {
-	t.rate *= math.Exp(-now.Sub(t.at).Seconds() / rateSpan.Seconds())
+	past := now.Sub(t.at).Seconds()
+	t.rate *= math.Exp(-past / rateSpan.Seconds())
+	t.surge *= math.Exp(-past / surgeSpan.Seconds())
 	t.at = now
 }
