relay: pace prompts by the pauses of streams; reset given-up connections

Cause, late streams: several prompts read at once hold up the steps of all streams on an endpoint. A router now sends the next prompt when the last has been read, as far as the route's longest pause asks. Found by a test: an event was held back while a part of the next had come.

--- a/cmds/route.go
+++ b/cmds/route.go
@@ -48,18 +48,35 @@
 	Stop(ctx context.Context) error
 }
 
-// runUntilSignal runs a process until a signal, then drains it for at most so long.
+// reloader is a process that can take in settings that have changed.
+type reloader interface {
+	Reload()
+}
+
+// runUntilSignal runs a process until a signal, then drains it for at most so
+// long. SIGHUP has it read its settings again, if it can.
 func runUntilSignal(most time.Duration, n runner, failed <-chan error) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	// The process outlives the signal: it drains first.
 	if err := n.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
 	var failure error
-	select {
-	case <-ctx.Done():
-	case failure = <-failed:
+	for running := true; running; {
+		select {
+		case <-ctx.Done():
+			running = false
+		case failure = <-failed:
+			running = false
+		case <-hangup:
+			if r, ok := n.(reloader); ok {
+				r.Reload()
+			}
+		}
 	}
 	drain, done := context.WithTimeout(context.WithoutCancel(ctx), most)
 	defer done()
--- a/config/gate.go
+++ b/config/gate.go
@@ -66,6 +66,16 @@
 	return ParseGate(path, data)
 }
 
+// Reread reads the file of the settings again and completes them as the role
+// asks.
+func (c *Gate) Reread(role func(*Gate) error) (*Gate, error) {
+	again, err := LoadGate(c.source.name)
+	if err != nil {
+		return nil, err
+	}
+	return again, role(again)
+}
+
 // ParseGate checks settings; name is the file named in errors.
 func ParseGate(name string, data []byte) (*Gate, error) {
 	c := &Gate{source: newSource(name, data)}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -19,6 +19,9 @@
 	// queueMost is how many requests beyond its slots an endpoint is sent, in
 	// sixteenths of the slots: enough that a slot never stands empty.
 	queueMost = 2
+	// pacingRouters is how many routers are taken to send prompts to one endpoint at
+	// the same moment, at most.
+	pacingRouters = 2
 	// avoidCost is the cost of an endpoint that failed lately, in ms; it is used
 	// only if there is no other.
 	avoidCost = 1e6
@@ -33,7 +36,7 @@
 	var best *endpoint
 	least := 0.0
 	for _, e := range s.endpoints {
-		if !s.serves(e, r) || e.full() {
+		if !s.serves(e, r) || e.full() || s.wouldStall(e, r) {
 			continue
 		}
 		if cost := s.cost(e, r); best == nil || cost < least {
@@ -54,6 +57,17 @@
 	return e.Stock.Holds(r.Item)
 }
 
+// wouldStall says whether one more prompt would have the streams of an endpoint
+// pause for too long: prompts are read between the steps of streams.
+func (s *State) wouldStall(e *endpoint, r *request) bool {
+	if e.unread <= 0 || r.Route.MaxGap == 0 {
+		return false
+	}
+	share := min(max(s.budget.routers, 1), pacingRouters)
+	most := msOf(r.Route.MaxGap) * e.speed / float64(share)
+	return float64(e.unread+r.TokensIn) > most
+}
+
 // full says whether an endpoint has as many requests as it can use.
 func (e *endpoint) full() bool {
 	return e.Slots > 0 && e.load() >= e.Slots+max(e.Slots*queueMost/16, 1)
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -19,7 +19,9 @@
 		e.attempted(false, s.now)
 		s.drop(r)
 	case Expired:
-		r.ran++
+		if !ev.Unsent {
+			r.ran++
+		}
 		s.expire(r)
 	case Unsent:
 		e.attempted(true, s.now)
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -108,6 +108,8 @@
 	Version int64
 	// Answering says that a part of an answer has been passed on.
 	Answering bool
+	// Unsent says that nothing was sent in an attempt that expired.
+	Unsent bool
 }
 
 // Kind implements event.Event.
@@ -170,3 +172,11 @@
 
 // Kind implements event.Event.
 func (Adopted) Kind() string { return "relay-adopted" }
+
+// Configured brings settings that have changed.
+type Configured struct {
+	Settings Settings
+}
+
+// Kind implements event.Event.
+func (Configured) Kind() string { return "relay-configured" }
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+)
+
+var modelA = stock.Item{Model: "a"}
+
+func TestPlainRequestGoesToItsZone(t *testing.T) {
+	far := member("far", plain)
+	far.Zone = "there"
+	w := newWorld(t, far, member("near", plain))
+	w.arrive(plainRoute(route.Unsafe), stock.Item{})
+	assert.Equal(t, "near", only[Send](w).Instance)
+}
+
+func TestNoSecondRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		route  *route.Route
+		result Result
+		again  bool
+	}{
+		"unsafe, broken":          {plainRoute(route.Unsafe), Broken, false},
+		"unsafe, failed":          {plainRoute(route.Unsafe), Failed, false},
+		"unsafe, shed":            {plainRoute(route.Unsafe), Shed, true},
+		"unsafe, replaced":        {plainRoute(route.Unsafe), Replaced, true},
+		"unsafe, unsent":          {plainRoute(route.Unsafe), Unsent, true},
+		"safe, broken":            {plainRoute(route.Safe), Broken, true},
+		"safe, failed":            {plainRoute(route.Safe), Failed, true},
+		"stream not to be resume": {&route.Route{Kind: route.Stream, Timeout: time.Second, MaxAttempts: 2}, Broken, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, member("e1", plain), member("e2", plain))
+			id := w.arrive(c.route, stock.Item{})
+			first := only[Send](w)
+			w.ended(id, c.result)
+			if !c.again {
+				assert.Empty(t, effectsOf[Send](w))
+				assert.Empty(t, effectsOf[Refuse](w), "a refusal would say that it has not run")
+				return
+			}
+			assert.NotEqual(t, first.Instance, only[Send](w).Instance)
+		})
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	w := newWorld(t, member("e1", plain), member("e2", plain), member("e3", plain))
+	id := w.arrive(plainRoute(route.Safe), stock.Item{})
+	w.ended(id, Broken)
+	only[Send](w)
+	w.ended(id, Broken)
+	assert.Equal(t, AllFailed, only[Fail](w).Reason)
+}
+
+func TestOwnFailureOfEndpointIsDelivered(t *testing.T) {
+	w := newWorld(t, member("e1", plain))
+	id := w.arrive(plainRoute(route.Unsafe), stock.Item{})
+	w.ended(id, Failed)
+	assert.Equal(t, id, only[Deliver](w).ID)
+}
+
+func TestRefusedAtOnceWithoutEndpoint(t *testing.T) {
+	leaving := member("e1", plain)
+	leaving.Leaving = true
+	w := newWorld(t, leaving)
+	w.arrive(plainRoute(route.Unsafe), stock.Item{})
+	refused := only[Refuse](w)
+	assert.Equal(t, NoEndpoint, refused.Reason)
+	assert.True(t, refused.RetryAt.After(w.now))
+}
+
+func TestUnknownModelIsRefused(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("a"))
+	w.arrive(streamRoute(), stock.Item{Model: "none"})
+	assert.Equal(t, NoModel, only[Refuse](w).Reason)
+}
+
+func TestRequestsForColdModelShareOneLoad(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm))
+	w.report("e1", holding("b"))
+	w.report("e2", holding("c"))
+	w.arrive(streamRoute(), modelA)
+	asked := only[Ask](w)
+	require.Len(t, asked.Demand.Wants, 1)
+	assert.Equal(t, modelA, asked.Demand.Wants[0].Item)
+	w.arrive(streamRoute(), modelA)
+	assert.Empty(t, effectsOf[Send](w))
+	for _, a := range effectsOf[Ask](w) {
+		assert.Equal(t, asked.Instance, a.Instance, "a second endpoint loads the same model")
+	}
+	w.report(asked.Instance, func(r *stock.Report) { holding("a", "b")(r); r.Routers = 2 })
+	assert.Len(t, effectsOf[Send](w), 1, "the second prompt waits until the first has been read")
+	w.apply(Begun{ID: 1})
+	assert.Len(t, effectsOf[Send](w), 1)
+}
+
+func TestLoadThatComesTooLateIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("b"))
+	rt := streamRoute()
+	rt.Timeout = time.Second
+	w.arrive(rt, modelA)
+	refused := only[Refuse](w)
+	assert.Equal(t, TooLate, refused.Reason)
+	assert.WithinDuration(t, w.now.Add(2*time.Second), refused.RetryAt, 100*time.Millisecond)
+}
+
+func TestAgentThatDoesNotLoadIsReplaced(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm))
+	w.report("e1", holding("b"))
+	w.report("e2", holding("c"))
+	w.arrive(streamRoute(), modelA)
+	first := only[Ask](w).Instance
+	w.pass(ackTime + time.Millisecond)
+	asks := lo.Filter(effectsOf[Ask](w), func(a Ask, _ int) bool { return len(a.Demand.Wants) > 0 })
+	require.Len(t, asks, 1)
+	assert.NotEqual(t, first, asks[0].Instance)
+}
+
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm))
+	w.report("e1", holding("a"))
+	w.report("e2", holding("a"))
+	w.report("e1", func(r *stock.Report) { holding("a")(r); r.Leaving = true })
+	for range 4 {
+		id := w.arrive(streamRoute(), modelA)
+		assert.Equal(t, "e2", only[Send](w).Instance)
+		w.apply(Begun{ID: id})
+	}
+}
+
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm))
+	w.report("e1", holding("a"))
+	w.report("e2", holding("a"))
+	id := w.arrive(streamRoute(), modelA)
+	first := only[Send](w)
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 12, Version: 3, Answering: true})
+	next := only[Send](w)
+	assert.NotEqual(t, first.Instance, next.Instance)
+	assert.Equal(t, int64(12), next.LastEvent)
+	assert.Equal(t, int64(3), next.Version)
+}
+
+func TestBrokenAnswerIsNeverRefused(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("a"))
+	id := w.arrive(streamRoute(), modelA)
+	w.setMembers()
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 3, Answering: true})
+	assert.Empty(t, effectsOf[Refuse](w))
+	only[Fail](w)
+}
+
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	w := newWorld(t, member("e1", plain), member("e2", plain))
+	w.s.budget.routers = 1
+	repeats := 0
+	const requests = 200
+	for range requests {
+		id := w.arrive(plainRoute(route.Safe), stock.Item{})
+		w.ended(id, Broken)
+		if len(effectsOf[Send](w)) > 0 {
+			repeats++
+			w.ended(id, Broken)
+		}
+	}
+	most := float64(requests)*0.2 + 50
+	assert.LessOrEqual(t, float64(repeats), most)
+	assert.Positive(t, repeats)
+}
+
+func TestSurgeAddsCopies(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm), member("e3", llm), member("e4", llm))
+	w.report("e1", holding("a"))
+	for _, id := range []string{"e2", "e3", "e4"} {
+		w.report(id, holding("b"))
+	}
+	asked := make(map[string]bool)
+	note := func() {
+		for _, a := range effectsOf[Ask](w) {
+			if len(a.Demand.Wants) > 0 {
+				asked[a.Instance] = true
+				assert.Zero(t, a.Demand.Wants[0].Waiting)
+				assert.Positive(t, a.Demand.Wants[0].Rate)
+			}
+		}
+	}
+	for range 40 {
+		id := w.arrive(streamRoute(), modelA)
+		note()
+		w.apply(Begun{ID: id})
+		w.pass(100 * time.Millisecond)
+		note()
+		w.ended(id, Done)
+	}
+	assert.Len(t, asked, 3, "10 prompts a second of 1400 tokens keep several endpoints busy")
+}
+
+func TestUnreachableEndpointIsLeftOut(t *testing.T) {
+	w := newWorld(t, member("e1", plain), member("e2", plain))
+	id := w.arrive(plainRoute(route.Unsafe), stock.Item{})
+	first := only[Send](w).Instance
+	w.ended(id, Unsent)
+	w.ended(id, Done)
+	for range 3 {
+		id = w.arrive(plainRoute(route.Unsafe), stock.Item{})
+		assert.NotEqual(t, first, only[Send](w).Instance)
+		w.ended(id, Done)
+	}
+}
+
+func TestDeadlineEndsWaiting(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("b"))
+	w.arrive(streamRoute(), modelA)
+	w.report("e1", func(r *stock.Report) {
+		holding("b")(r)
+		r.Loads = []stock.Load{{Item: modelA, ReadyAt: w.now.Add(14 * time.Second)}}
+	})
+	w.pass(15 * time.Second)
+	assert.Equal(t, OutOfTime, only[Refuse](w).Reason)
+	assert.Empty(t, w.s.requests)
+	assert.Empty(t, w.s.wants)
+}
+
+func TestCallerThatLeavesIsForgotten(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("a", "b"))
+	running := w.arrive(streamRoute(), modelA)
+	waiting := w.arrive(streamRoute(), stock.Item{Model: "c"})
+	w.apply(Gone{ID: running})
+	w.apply(Gone{ID: waiting})
+	assert.Empty(t, w.s.requests)
+	assert.Empty(t, w.s.waiting)
+	assert.Empty(t, w.s.wants)
+	e := w.s.endpoint("e1")
+	assert.Zero(t, e.running)
+	assert.Zero(t, e.unread)
+	assert.Empty(t, e.models)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -101,6 +101,8 @@
 		s.agentLost(ev)
 	case Adopted:
 		s.table = ev.Table
+	case Configured:
+		s.cfg, s.budget.cfg = ev.Settings, ev.Settings
 	case event.Tick:
 		s.tick()
 	}
@@ -186,6 +188,7 @@
 	}
 	r.began = true
 	r.at.begun(r, s.now)
+	s.serveWaiting()
 }
 
 func (s *State) gone(ev Gone) {
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -71,6 +71,16 @@
 // Kept says whether an earlier request used the connection.
 func (c *Conn) Kept() bool { return c.kept }
 
+// Abort closes a connection whose request is given up. It resets it, so that a
+// request that is held up on the way is lost rather than delivered later.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// The connection is closed in any case; without a reset only later.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Get returns a kept connection that is still good, or a new one. Errors wrap
 // ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
@@ -111,25 +121,49 @@
 // quiet says whether an idle connection is open and has nothing to read: bytes
 // that come while no request waits belong to none.
 func (c *Conn) quiet() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
+	return c.r.Buffered() == 0 && Peek(c.Conn) == Quiet
+}
+
+// State is what can be read from a connection without waiting.
+type State uint8
+
+// States of connections.
+const (
+	// Quiet: it is open and there is nothing to read, as far as known.
+	Quiet State = iota
+	// Pending: there are bytes to read.
+	Pending
+	// Ended: the other end has closed or reset it.
+	Ended
+)
+
+// Peek returns what could be read from a connection now. It takes nothing from
+// it and may be called beside a Read.
+func Peek(conn net.Conn) State {
+	raw, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return Quiet
 	}
 	rc, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return Ended
 	}
-	quiet := false
-	err = rc.Read(func(fd uintptr) bool {
+	state := Quiet
+	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+		case err != nil || n == 0:
+			state = Ended
+		default:
+			state = Pending
+		}
 	})
-	return err == nil && quiet
+	if err != nil {
+		return Ended
+	}
+	return state
 }
 
 // Put keeps a connection for the next request after a whole answer, if the
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -75,17 +75,15 @@
 	r := &Relay{cfg: cfg, plat: platform, log: log, failed: make(chan error, 2)}
 	clock := &event.Clock{}
 	r.daemon = relayd.New(relayd.Options{
-		Settings: relay.Settings{
-			Zone:       string(cfg.Process.FailureDomain),
-			RetryRatio: cfg.Retries.Ratio, RetryExtra: cfg.Retries.Extra, RetryWindow: cfg.Retries.Window,
-		},
+		Settings: relaySettings(cfg),
 		Dialect: platform.Dialect, Log: log.Logger, Clock: clock,
 		Recorder:  newLine(cfg, log, clock),
 		AgentOf:   platform.AgentOf,
 		MaxBodies: int64(cfg.Callers.MaxBodies),
 	})
 	r.calls = &http.Server{
-		Handler: r.daemon, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, ErrorLog: nil,
+		Handler: r.daemon, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle,
+		ConnContext: relayd.WithConn,
 	}
 	r.ready = &http.Server{Handler: http.HandlerFunc(r.answerReady), ReadHeaderTimeout: callerHeader}
 	return r
@@ -149,6 +147,26 @@
 	return nil
 }
 
+// Reload reads the settings again. The bound on repeats is taken in; the rest
+// needs a new process. Settings with faults are left out.
+func (r *Relay) Reload() {
+	cfg, err := r.cfg.Reread((*config.Gate).ForRouter)
+	if err != nil {
+		r.log.Error().Err(err).Msg("settings left out")
+		return
+	}
+	r.daemon.Configure(relaySettings(cfg))
+	r.log.Info().Float64("retry-ratio", cfg.Retries.Ratio).Int("retry-extra", cfg.Retries.Extra).Msg("settings reloaded")
+}
+
+// relaySettings are the figures that a router goes by.
+func relaySettings(cfg *config.Gate) relay.Settings {
+	return relay.Settings{
+		Zone:       string(cfg.Process.FailureDomain),
+		RetryRatio: cfg.Retries.Ratio, RetryExtra: cfg.Retries.Extra, RetryWindow: cfg.Retries.Window,
+	}
+}
+
 // Failed tells of the first failure of a server.
 func (r *Relay) Failed() <-chan error { return r.failed }
 
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// Reload checks the settings again; an agent has none that a running process can
+// take in.
+func (s *Swap) Reload() {
+	if _, err := s.cfg.Reread((*config.Gate).ForAgent); err != nil {
+		s.log.Error().Err(err).Msg("settings left out")
+		return
+	}
+	s.log.Info().Msg("settings reloaded")
+}
+
 // Failed tells of the failure of the listener.
 func (s *Swap) Failed() <-chan error { return s.failed }
 
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -99,6 +99,11 @@
 	d.loop.Post(relay.Adopted{Table: t})
 }
 
+// Configure takes in settings that have changed.
+func (d *Daemon) Configure(cfg relay.Settings) {
+	d.loop.Post(relay.Configured{Settings: cfg})
+}
+
 // SetMembers takes in the whole list of endpoints.
 func (d *Daemon) SetMembers(ctx context.Context, list []relay.Member) {
 	d.known.Store(true)
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -73,6 +74,11 @@
 			x.log("left", "caller has left")
 			return
 		case cmd := <-x.commands:
+			if x.callerLeft(ctx) {
+				x.d.loop.Post(relay.Gone{ID: x.id})
+				x.log("left", "caller has left")
+				return
+			}
 			if x.carryOut(ctx, cmd) {
 				return
 			}
@@ -80,6 +86,24 @@
 	}
 }
 
+// callerLeft says whether the caller has closed its connection. The context
+// tells so later than the connection when this process was held up.
+func (x *exchange) callerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && conns.Peek(conn) == conns.Ended
+}
+
+// connKey is the key of a caller's connection in the contexts of its requests.
+type connKey struct{}
+
+// WithConn is to be the ConnContext of the server for callers.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
 // carryOut returns whether the request has its final answer.
 func (x *exchange) carryOut(ctx context.Context, cmd any) bool {
 	switch cmd := cmd.(type) {
@@ -126,9 +150,9 @@
 	switch {
 	case errors.Is(err, errAbandoned):
 		ended.Result = relay.Abandoned
-	case ended.Result == relay.Done || ended.Result == relay.Unsent || ctx.Err() == nil:
+	case ended.Result == relay.Done || ctx.Err() == nil:
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		ended.Result = relay.Expired
+		ended.Result, ended.Unsent = relay.Expired, ended.Result == relay.Unsent
 	default:
 		ended.Result = relay.Abandoned
 	}
@@ -150,13 +174,13 @@
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.Abort)
 	resp, err := x.converse(c, send, ended)
 	if stop() && resp != nil {
 		x.d.pool.Put(c, resp)
 		return err
 	}
-	_ = c.Close()
+	c.Abort()
 	return err
 }
 
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -49,7 +49,7 @@
 		if !x.next(ev) {
 			continue
 		}
-		if err := x.writeEvent(rc, ev, in.Buffered() > 0); err != nil {
+		if err := x.writeEvent(rc, ev, wholeEventNext(in)); err != nil {
 			return err
 		}
 	}
@@ -84,6 +84,13 @@
 	return nil
 }
 
+// wholeEventNext says whether another event has come whole already.
+func wholeEventNext(r *bufio.Reader) bool {
+	// What is buffered can always be peeked at.
+	buf, _ := r.Peek(r.Buffered())
+	return eventEnd(buf, 0) > 0
+}
+
 // readEvent reads up to and with the empty line that ends an event. The bytes
 // are good until the next call.
 func readEvent(r *bufio.Reader) ([]byte, error) {
