mirror, relayd, swapd: catch up with routes that others have

Every frame between processes carries the version of the routes; who lags for 500 ms reads the store again and asks the agent that knows more. Items that were read before what is known are left out.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -35,6 +35,7 @@
 	r := node.NewRelay(cfg, log, node.Platform{
 		Store: plat.NewStore(cfg.Store.Address), Dialect: plat.Dialect{}, Prefix: plat.Everything,
 		Image: plat.NewImage(log.Logger), AgentOf: plat.AgentPort(cfg.Process.Wire), ReadyPath: plat.ReadyPath,
+		Decode: plat.DecodeRoutes,
 	})
 	return runUntilSignal(cfg.Process.DrainTimeout, r, r.Failed())
 }
--- a/cmds/swap.go
+++ b/cmds/swap.go
@@ -36,7 +36,7 @@
 	holder := string(cfg.Process.Host)
 	s := node.NewSwap(cfg, log, node.SwapPlatform{
 		Store: store, Endpoint: plat.NewEngine(cfg.Endpoint.Address, holder), Prefix: plat.Operator,
-		Routes: plat.NewImage(log.Logger).Routes, Fence: store.Fence(holder),
+		Routes: plat.NewImage(log.Logger).Routes, Document: plat.Document, Fence: store.Fence(holder),
 	})
 	return runUntilSignal(cfg.Process.DrainTimeout, s, s.Failed())
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -16,6 +16,8 @@
 // ErrCompacted says that the store no longer has the history that was asked for.
 var ErrCompacted = errors.New("history is gone")
 
+var errRefresh = errors.New("everything is to be read again")
+
 const (
 	// readTime bounds one read.
 	readTime = time.Second
@@ -68,7 +70,11 @@
 	// image is what callers see: entries whose writers may return are in it.
 	image  map[string][]byte
 	lapsed map[string]time.Time
-	next   int64
+	// revisions are those of the keys in the image.
+	revisions map[string]int64
+	next      int64
+	// refresh has everything read again.
+	refresh chan struct{}
 	// lostAt and backAt tell of the last outage.
 	lostAt, backAt time.Time
 	known          bool
@@ -76,7 +82,19 @@
 
 // New returns an empty mirror.
 func New(opts Options) *Mirror {
-	return &Mirror{opts: opts, image: make(map[string][]byte), lapsed: make(map[string]time.Time)}
+	return &Mirror{
+		opts: opts, image: make(map[string][]byte), lapsed: make(map[string]time.Time),
+		revisions: make(map[string]int64), refresh: make(chan struct{}, 1),
+	}
+}
+
+// Refresh has everything read again at once, as others know of changes that no
+// watch has told of.
+func (m *Mirror) Refresh() {
+	select {
+	case m.refresh <- struct{}{}:
+	default:
+	}
 }
 
 // Run keeps the copy until the context ends.
@@ -116,7 +134,12 @@
 	if at, ok := m.nextLapse(); ok {
 		wait = max(time.Until(at), time.Millisecond)
 	}
-	items, next, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.next, wait)
+	items, next, err := m.watch(ctx, wait)
+	if errors.Is(err, errRefresh) {
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("change missed, reading all")
+		m.next = 0
+		return nil
+	}
 	if errors.Is(err, ErrCompacted) {
 		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("store history lost, reading all")
 		m.next = 0
@@ -131,6 +154,26 @@
 	return nil
 }
 
+// watch waits for a change or until everything is to be read again.
+func (m *Mirror) watch(ctx context.Context, wait time.Duration) ([]Item, int64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-done:
+		case <-m.refresh:
+			cancel(errRefresh)
+		}
+	}()
+	items, next, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.next, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errRefresh) {
+		return nil, 0, errRefresh
+	}
+	return items, next, err
+}
+
 func (m *Mirror) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
@@ -146,7 +189,7 @@
 	}
 	for key := range m.image {
 		if !found[key] {
-			items = append(items, Item{Key: key})
+			items = append(items, Item{Key: key, Revision: next})
 		}
 	}
 	first := !m.known
@@ -162,6 +205,11 @@
 	now := time.Now()
 	changed := false
 	for _, it := range items {
+		if it.Revision < m.revisions[it.Key] {
+			// Read before what is known already.
+			continue
+		}
+		m.revisions[it.Key] = it.Revision
 		if it.Value != nil {
 			delete(m.lapsed, it.Key)
 			changed = changed || !bytes.Equal(m.image[it.Key], it.Value)
@@ -176,12 +224,14 @@
 			continue
 		}
 		delete(m.image, it.Key)
+		delete(m.revisions, it.Key)
 		changed = true
 	}
 	for key, at := range m.lapsed {
 		if !now.Before(at) {
 			delete(m.lapsed, key)
 			delete(m.image, key)
+			delete(m.revisions, key)
 			changed = true
 		}
 	}
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -47,6 +47,8 @@
 	Image Image
 	// AgentOf returns where the agent beside an endpoint listens.
 	AgentOf func(m relay.Member) netip.AddrPort
+	// Decode reads the operator's routes as the store has them.
+	Decode func(document []byte) (*route.Table, error)
 	// ReadyPath is what the balancer asks for.
 	ReadyPath string
 }
@@ -80,6 +82,12 @@
 		Recorder:  newLine(cfg, log, clock),
 		AgentOf:   platform.AgentOf,
 		MaxBodies: int64(cfg.Callers.MaxBodies),
+		Lagging:   func() { r.mirror.Refresh() },
+		Decode:    platform.Decode,
+	})
+	r.mirror = mirror.New(mirror.Options{
+		Store: platform.Store, Prefix: platform.Prefix, Pace: cfg.Store.Pace, Wait: cfg.Store.Wait, Log: log.Logger,
+		Changed: r.changed,
 	})
 	r.calls = &http.Server{
 		Handler: r.daemon, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle,
@@ -117,20 +125,16 @@
 		return err
 	}
 	go r.daemon.Run(ctx)
-	r.mirror = mirror.New(mirror.Options{
-		Store: r.plat.Store, Prefix: r.plat.Prefix, Pace: r.cfg.Store.Pace, Wait: r.cfg.Store.Wait, Log: r.log.Logger,
-		Changed: func(image map[string][]byte) { r.changed(ctx, image) },
-	})
 	go r.mirror.Run(ctx)
 	r.log.Info().Stringer("callers", r.cfg.Callers.Listen).Msg("started")
 	return nil
 }
 
-func (r *Relay) changed(ctx context.Context, image map[string][]byte) {
+func (r *Relay) changed(image map[string][]byte) {
 	if t := r.plat.Image.Routes(image); t != nil {
 		r.daemon.Adopt(t)
 	}
-	r.daemon.SetMembers(ctx, r.plat.Image.Members(image))
+	r.daemon.SetMembers(r.plat.Image.Members(image))
 }
 
 func (r *Relay) listen(ctx context.Context, s *http.Server, addr netip.AddrPort) error {
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -33,6 +33,8 @@
 	Prefix string
 	// Routes reads a copy of the store.
 	Routes func(image map[string][]byte) *route.Table
+	// Document returns the operator's routes as the store has them.
+	Document func(image map[string][]byte) []byte
 	// Fence returns a number that is higher than that of any agent of the endpoint
 	// before.
 	Fence func(ctx context.Context) (int64, error)
@@ -44,6 +46,7 @@
 	plat   SwapPlatform
 	log    *logs.Log
 	daemon *swapd.Daemon
+	mirror *mirror.Mirror
 	stop   context.CancelFunc
 	failed chan error
 }
@@ -51,12 +54,16 @@
 // NewSwap puts an agent together from settings that are complete for one.
 func NewSwap(cfg *config.Gate, log *logs.Log, platform SwapPlatform) *Swap {
 	clock := &event.Clock{}
-	return &Swap{
-		cfg: cfg, plat: platform, log: log, failed: make(chan error, 1),
-		daemon: swapd.New(swapd.Options{
-			Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: newLine(cfg, log, clock),
-		}),
-	}
+	s := &Swap{cfg: cfg, plat: platform, log: log, failed: make(chan error, 1)}
+	s.mirror = mirror.New(mirror.Options{
+		Store: platform.Store, Prefix: platform.Prefix, Pace: configPace, Wait: configWait, Log: log.Logger,
+		Changed: s.changed,
+	})
+	s.daemon = swapd.New(swapd.Options{
+		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: newLine(cfg, log, clock),
+		Lagging: func(int64) { s.mirror.Refresh() },
+	})
+	return s
 }
 
 // Start begins to follow the endpoint and to serve routers.
@@ -74,18 +81,14 @@
 	}()
 	go s.daemon.Run(ctx)
 	go s.fence(ctx)
-	m := mirror.New(mirror.Options{
-		Store: s.plat.Store, Prefix: s.plat.Prefix, Pace: configPace, Wait: configWait, Log: s.log.Logger,
-		Changed: s.changed,
-	})
-	go m.Run(ctx)
+	go s.mirror.Run(ctx)
 	s.log.Info().Stringer("endpoint", s.cfg.Endpoint.Address).Msg("started")
 	return nil
 }
 
 func (s *Swap) changed(image map[string][]byte) {
 	if t := s.plat.Routes(image); t != nil {
-		s.daemon.Adopt(t.Engine(s.cfg.Endpoint.Service))
+		s.daemon.Adopt(t.Engine(s.cfg.Endpoint.Service), t.Version, s.plat.Document(image))
 	}
 }
 
--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilreach/core/relay"
@@ -20,6 +21,11 @@
 	// asksQueued bounds the demands that wait for a slow connection; each replaces
 	// the one before.
 	asksQueued = 1
+	// lagTime is how long a router waits for its own watch to bring routes that
+	// others have already.
+	lagTime = 500 * time.Millisecond
+	// fetchTime bounds the reading of routes from an agent.
+	fetchTime = time.Second
 	// reportTime is the longest silence of an agent that still counts as connected;
 	// agents report every second.
 	reportTime = 4 * time.Second
@@ -29,8 +35,13 @@
 type agents struct {
 	d    *Daemon
 	peer *wire.Peer
+	// ctx ends with the daemon.
+	ctx  context.Context
+	stop context.CancelFunc
 	mu   sync.Mutex
 	open map[string]*agent
+	// lagging says that a later version of the routes is being looked for.
+	lagging atomic.Bool
 }
 
 // agent is the connection to one.
@@ -43,13 +54,14 @@
 
 func newAgents(d *Daemon) *agents {
 	a := &agents{d: d, open: make(map[string]*agent)}
+	a.ctx, a.stop = context.WithCancel(context.Background())
 	a.peer = d.peer()
 	return a
 }
 
 // follow connects to the agents of the endpoints on the list and lets go of the
 // others.
-func (a *agents) follow(ctx context.Context, list []relay.Member) {
+func (a *agents) follow(list []relay.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	listed := make(map[string]bool, len(list))
@@ -62,7 +74,7 @@
 		if a.open[m.Instance] != nil {
 			continue
 		}
-		ctx, stop := context.WithCancel(ctx)
+		ctx, stop := context.WithCancel(a.ctx)
 		one := &agent{instance: m.Instance, addr: addr, asks: make(chan stock.Demand, asksQueued), stop: stop}
 		a.open[m.Instance] = one
 		go a.keep(ctx, one)
@@ -136,7 +148,7 @@
 		return err
 	}
 	go sendAsks(conn, s, one)
-	return a.receive(s, one)
+	return a.receive(conn, s, one)
 }
 
 func sendAsks(conn *wire.Conn, s *wire.Stream, one *agent) {
@@ -158,7 +170,7 @@
 	return &wirepb.Frame{Body: &wirepb.Frame_Demand{Demand: wire.EncodeDemand(time.Now(), d)}}
 }
 
-func (a *agents) receive(s *wire.Stream, one *agent) error {
+func (a *agents) receive(conn *wire.Conn, s *wire.Stream, one *agent) error {
 	var last stock.Report
 	connected := false
 	for {
@@ -182,5 +194,52 @@
 			a.d.log.Info().Str("endpoint", one.instance).Msg("agent connected")
 		}
 		a.d.loop.Post(relay.Reported{Report: last})
+		if f.GetRevision() > (self{a.d}).Revision() && a.lagging.CompareAndSwap(false, true) {
+			go a.catchUp(conn, f.GetRevision())
+		}
+	}
+}
+
+// catchUp waits for a version of the routes that an agent has, then reads the
+// store again and asks the agent, whichever is faster.
+func (a *agents) catchUp(conn *wire.Conn, version int64) {
+	defer a.lagging.Store(false)
+	select {
+	case <-a.ctx.Done():
+		return
+	case <-time.After(lagTime):
+	}
+	if (self{a.d}).Revision() >= version {
+		return
+	}
+	a.d.log.Info().Int64("version", (self{a.d}).Revision()).Int64("known-elsewhere", version).Msg("routes lag behind")
+	a.d.opts.Lagging()
+	if err := a.fetchRoutes(conn); err != nil {
+		a.d.log.Warn().Err(err).Msg("routes not read from an agent")
+	}
+}
+
+func (a *agents) fetchRoutes(conn *wire.Conn) error {
+	s, err := conn.Open()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	if err := s.SetDeadline(time.Now().Add(fetchTime)); err != nil {
+		return err
+	}
+	ask := &wirepb.Routes{Version: (self{a.d}).Revision()}
+	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: ask}}); err != nil {
+		return err
+	}
+	f, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	table, err := a.d.opts.Decode(f.GetRoutes().GetDocument())
+	if err != nil {
+		return err
 	}
+	a.d.Adopt(table)
+	return nil
 }
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -32,6 +32,10 @@
 	// AgentOf returns where the agent beside an endpoint listens; the address is
 	// invalid if none is to be expected.
 	AgentOf func(m relay.Member) netip.AddrPort
+	// Lagging is called when an agent has routes of a later version.
+	Lagging func()
+	// Decode reads the operator's routes as agents hand them on.
+	Decode func(document []byte) (*route.Table, error)
 	// MaxBodies is the most memory for the bodies of all requests in progress, in
 	// bytes.
 	MaxBodies int64
@@ -67,6 +71,7 @@
 
 // Run runs the daemon until the context ends.
 func (d *Daemon) Run(ctx context.Context) {
+	defer d.agents.stop()
 	go d.prune(ctx)
 	d.loop.Run(ctx, executor{d, ctx})
 }
@@ -105,10 +110,10 @@
 }
 
 // SetMembers takes in the whole list of endpoints.
-func (d *Daemon) SetMembers(ctx context.Context, list []relay.Member) {
+func (d *Daemon) SetMembers(list []relay.Member) {
 	d.known.Store(true)
 	d.loop.Post(relay.Members{List: list})
-	d.agents.follow(ctx, list)
+	d.agents.follow(list)
 }
 
 // Ready says whether callers may be sent here.
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -45,6 +45,8 @@
 	Log      zerolog.Logger
 	Recorder loop.Recorder
 	Clock    *event.Clock
+	// Lagging is called when a router has routes of a later version.
+	Lagging func(version int64)
 }
 
 // Daemon is an agent's daemon.
@@ -62,6 +64,9 @@
 	// seen is what the endpoint said last under its present name; the name is empty
 	// when it has to be asked for again.
 	seen swap.Engine
+	// version and document are the operator's routes as the store has them.
+	version  int64
+	document []byte
 }
 
 // New returns a daemon that has not been started.
@@ -77,23 +82,39 @@
 	d.loop.Run(ctx, executor{d, ctx})
 }
 
-// Adopt takes in what the endpoint's engine can hold; nil for nothing.
-func (d *Daemon) Adopt(e *route.Engine) { d.loop.Post(swap.Adopted{Engine: e}) }
+// Adopt takes in what the endpoint's engine can hold, nil for nothing, and the
+// document that says so, which routers may ask for.
+func (d *Daemon) Adopt(e *route.Engine, version int64, document []byte) {
+	d.mu.Lock()
+	d.version, d.document = version, document
+	d.mu.Unlock()
+	d.loop.Post(swap.Adopted{Engine: e})
+}
+
+// routes returns the operator's routes and their version; 0 if there are none.
+func (d *Daemon) routes() (int64, []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version, d.document
+}
 
 // Fence takes in the agent's fencing number.
 func (d *Daemon) Fence(token int64) { d.loop.Post(swap.Fenced{Token: token}) }
 
 // Peer returns this process's end of the connections from routers.
-func (d *Daemon) Peer() *wire.Peer { return wire.NewPeer(self{}, d.opts.Clock, d) }
+func (d *Daemon) Peer() *wire.Peer { return wire.NewPeer(self{d}, d.opts.Clock, d) }
 
-// self says nothing of this process: agents are followed by their reports.
-type self struct{}
+// self tells routers which version of the routes this agent has.
+type self struct{ d *Daemon }
 
 // Hello implements wire.Self.
 func (self) Hello() *wirepb.Hello { return &wirepb.Hello{} }
 
 // Revision implements wire.Self.
-func (self) Revision() int64 { return 0 }
+func (s self) Revision() int64 {
+	version, _ := s.d.routes()
+	return version
+}
 
 // Serve implements wire.Handler: it exchanges demands and reports with a router.
 func (d *Daemon) Serve(_ context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
@@ -102,6 +123,10 @@
 		d.greet(s)
 		return
 	}
+	if first.GetRoutes() != nil {
+		d.sendRoutes(s)
+		return
+	}
 	if first.GetDemand() == nil {
 		return
 	}
@@ -118,12 +143,24 @@
 			return
 		}
 		d.loop.Post(swap.Demanded{Router: id, Demand: wire.DecodeDemand(time.Now(), body)})
+		if version, _ := d.routes(); f.GetRevision() > version {
+			d.opts.Lagging(f.GetRevision())
+		}
+	}
+}
+
+// sendRoutes answers a router that lags.
+func (d *Daemon) sendRoutes(s *wire.Stream) {
+	version, document := d.routes()
+	body := &wirepb.Routes{Version: version, Document: document}
+	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: body}}); err != nil {
+		d.log.Info().Err(err).Msg("routes not sent to a router")
 	}
 }
 
 // greet answers a hello and keeps the stream until the other end closes it.
 func (d *Daemon) greet(s *wire.Stream) {
-	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: self{}.Hello()}}); err != nil {
+	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: self{d}.Hello()}}); err != nil {
 		d.log.Info().Err(err).Msg("router lost at its hello")
 		return
 	}
