--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -39,11 +39,11 @@
 	if reason == "" {
 		reason = TooLate
 	}
-	s.refuse(r, reason, s.retryAt(r, readyAt))
+	s.refuse(r, reason, s.retryAt(readyAt))
 }
 
 // retryAt is when a repeat of a refused request is likely to be served.
-func (s *State) retryAt(r *request, readyAt time.Time) time.Time {
+func (s *State) retryAt(readyAt time.Time) time.Time {
 	if readyAt.IsZero() {
 		return s.now.Add(retryNoEndpoint)
 	}
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -166,22 +166,31 @@
 	return state
 }
 
-// Put keeps a connection for the next request after a whole answer, if the
-// answer allows it and nothing follows.
-func (p *Pool) Put(c *Conn, resp *http.Response) {
-	if resp.Close || c.r.Buffered() > 0 {
-		_ = c.Close()
-		return
+// Keep says for how long a connection may be kept after an answer; the zero
+// value says not at all.
+type Keep struct {
+	most time.Duration
+}
+
+// KeepAfter returns what the head of an answer says of its connection.
+func KeepAfter(resp *http.Response) Keep {
+	if resp.Close {
+		return Keep{}
 	}
-	keep := keepTime
 	if named, ok := keepAliveTime(resp.Header.Get("Keep-Alive")); ok {
-		keep = named - keepMargin
+		return Keep{max(named-keepMargin, 0)}
 	}
-	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
+	return Keep{keepTime}
+}
+
+// Put keeps a connection for the next request after a whole answer, if the
+// answer allows it and nothing follows.
+func (p *Pool) Put(c *Conn, keep Keep) {
+	if keep.most <= 0 || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
-	c.until = time.Now().Add(keep)
+	c.until = time.Now().Add(keep.most)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.addr]) >= maxIdle {
--- a/io/conns/pool_test.go
+++ b/io/conns/pool_test.go
@@ -1,7 +1,6 @@
 package conns
 
 import (
-	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -44,7 +43,7 @@
 	c.Abort()
 	require.NoError(t, other.SetReadDeadline(time.Now().Add(5*time.Second)))
 	_, err = io.ReadAll(other)
-	assert.True(t, errors.Is(err, syscall.ECONNRESET), "got %v", err)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
 func TestPeek(t *testing.T) {
@@ -70,7 +69,8 @@
 	go func() { _, _ = io.WriteString(other, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") }()
 	resp, err := c.Read("GET")
 	require.NoError(t, err)
-	p.Put(c, resp)
+	p.Put(c, KeepAfter(resp))
+	require.NoError(t, resp.Body.Close())
 	require.Len(t, p.idle[c.addr], 1)
 	require.NoError(t, other.Close())
 	assert.Eventually(t, func() bool { return Peek(c.Conn) == Ended }, 5*time.Second, time.Millisecond)
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -78,7 +78,7 @@
 	clock := &event.Clock{}
 	r.daemon = relayd.New(relayd.Options{
 		Settings: relaySettings(cfg),
-		Dialect: platform.Dialect, Log: log.Logger, Clock: clock,
+		Dialect:  platform.Dialect, Log: log.Logger, Clock: clock,
 		Recorder:  newLine(cfg, log, clock),
 		AgentOf:   platform.AgentOf,
 		MaxBodies: int64(cfg.Callers.MaxBodies),
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -175,9 +175,9 @@
 		return err
 	}
 	stop := context.AfterFunc(ctx, c.Abort)
-	resp, err := x.converse(c, send, ended)
-	if stop() && resp != nil {
-		x.d.pool.Put(c, resp)
+	keep, err := x.converse(c, send, ended)
+	if stop() && keep != (conns.Keep{}) {
+		x.d.pool.Put(c, keep)
 		return err
 	}
 	c.Abort()
@@ -185,31 +185,28 @@
 }
 
 // converse sends the request on a connection and passes on the answer. It
-// returns the answer if the connection may be kept.
-func (x *exchange) converse(c *conns.Conn, send relay.Send, ended *relay.Ended) (*http.Response, error) {
+// returns for how long the connection may be kept.
+func (x *exchange) converse(c *conns.Conn, send relay.Send, ended *relay.Ended) (conns.Keep, error) {
 	if n, err := c.Write(x.encode(send)); err != nil {
 		if n > 0 {
 			ended.Result = relay.Broken
 		}
-		return nil, fmt.Errorf("send request: %w", err)
+		return conns.Keep{}, fmt.Errorf("send request: %w", err)
 	}
 	ended.Result = relay.Broken
 	resp, verdict, err := x.readHead(c)
 	if err != nil {
-		return nil, err
+		return conns.Keep{}, err
 	}
-	keep := false
+	keep := conns.KeepAfter(resp)
 	if verdict.Result != "" {
 		ended.Result = verdict.Result
-		err = conns.Skip(resp, foreignBody)
-		keep = err == nil
-	} else {
-		keep, err = x.passOn(resp, verdict, ended)
+		return keep, conns.Skip(resp, foreignBody)
 	}
-	if !keep {
-		return nil, err
+	if err := x.passOn(resp, verdict, ended); err != nil {
+		return conns.Keep{}, err
 	}
-	return resp, err
+	return keep, nil
 }
 
 // encode writes the request as the endpoint gets it.
@@ -250,19 +247,20 @@
 	return nil, Verdict{}, errors.New("answers belong to other requests")
 }
 
-// passOn passes on an answer. It returns whether the connection may be kept.
-func (x *exchange) passOn(resp *http.Response, verdict Verdict, ended *relay.Ended) (bool, error) {
+// passOn passes on an answer and sets how the attempt ended. An error says that
+// the connection can't be used any more.
+func (x *exchange) passOn(resp *http.Response, verdict Verdict, ended *relay.Ended) error {
 	x.version = verdict.Version
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
-		err := x.passStream(resp)
-		if err == nil {
-			ended.Result = relay.Done
+		if err := x.passStream(resp); err != nil {
+			return err
 		}
-		return err == nil, err
+		ended.Result = relay.Done
+		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeBody+1))
 	if err != nil {
-		return false, fmt.Errorf("read answer: %w", err)
+		return fmt.Errorf("read answer: %w", err)
 	}
 	if len(body) > wholeBody {
 		return x.passLong(resp, body, ended)
@@ -271,26 +269,26 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		x.failure = answer
 		ended.Result = relay.Failed
-		return true, nil
+		return nil
 	}
 	x.d.loop.Post(relay.Begun{ID: x.id})
 	x.deliver(answer)
 	ended.Result = relay.Done
-	return true, nil
+	return nil
 }
 
 // passLong passes on an answer that is too long to be read first.
-func (x *exchange) passLong(resp *http.Response, begin []byte, ended *relay.Ended) (bool, error) {
+func (x *exchange) passLong(resp *http.Response, begin []byte, ended *relay.Ended) error {
 	x.head(resp)
 	x.w.WriteHeader(resp.StatusCode)
 	if _, err := x.w.Write(begin); err != nil {
-		return false, fmt.Errorf("pass on answer: %w: %w", errAbandoned, err)
+		return fmt.Errorf("pass on answer: %w: %w", errAbandoned, err)
 	}
 	if _, err := io.Copy(x.w, resp.Body); err != nil {
-		return false, fmt.Errorf("pass on answer: %w", err)
+		return fmt.Errorf("pass on answer: %w", err)
 	}
 	ended.Result = relay.Done
-	return true, nil
+	return nil
 }
 
 // deliver passes on a whole answer.
