explain, metrics: tell from logs what happened to a request

Each decision on a request is a line with what it went by and its age: waits, attempts, refusals. Lines at info are bounded to 400 a second with a count of those left out. Counters and times are served on the administration address. Settings of processes on the platform are checked by check-settings too.

--- /dev/null
+++ b/cmds/explain.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"chervilreach/io/story"
+)
+
+type explainCommand struct {
+	JSON bool `long:"json" description:"print JSON"`
+	Args struct {
+		Request string   `positional-arg-name:"ID" description:"id of the request"`
+		Files   []string `positional-arg-name:"FILE" required:"1" description:"logs of the processes; - for standard input"`
+	} `positional-args:"true" required:"true"`
+}
+
+func init() {
+	register("explain", "tell from logs what happened to a request",
+		"Puts together the log lines of several processes that bear on one request, in order.", &explainCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error { return c.run(os.Stdin, os.Stdout) }
+
+func (c *explainCommand) run(in io.Reader, out io.Writer) error {
+	var lines []story.Line
+	for _, name := range c.Args.Files {
+		more, err := readLog(in, name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	told, err := story.Of(lines, c.Args.Request)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, told)
+	}
+	return story.Write(out, told)
+}
+
+func readLog(in io.Reader, name string) ([]story.Line, error) {
+	if name == "-" {
+		return story.Read(in)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	lines, err := story.Read(f)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", name, err), f.Close())
+	}
+	if err := f.Close(); err != nil {
+		return nil, fmt.Errorf("close log: %w", err)
+	}
+	return lines, nil
+}
--- a/cmds/settings.go
+++ b/cmds/settings.go
@@ -24,7 +24,7 @@
 func (c *checkSettingsCommand) Execute([]string) error {
 	bad := 0
 	for _, path := range c.Args.Files {
-		if err := checkSettings(path); err != nil {
+		if err := config.Check(path); err != nil {
 			bad++
 			fmt.Fprintln(os.Stderr, err)
 			continue
@@ -36,12 +36,3 @@
 	}
 	return nil
 }
-
-// checkSettings checks one file for the roles that it has sections for.
-func checkSettings(path string) error {
-	cfg, err := config.Load(path)
-	if err != nil {
-		return err
-	}
-	return cfg.ForRoles()
-}
--- a/config/docs_test.go
+++ b/config/docs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"reflect"
 	"regexp"
 	"testing"
@@ -21,19 +22,28 @@
 // TestPageExamples shows that the examples of the settings page work.
 func TestPageExamples(t *testing.T) {
 	blocks := regexp.MustCompile("(?s)```jsonc\n(.*?)```").FindAllStringSubmatch(readPage(t), -1)
-	require.Len(t, blocks, 2)
+	require.Len(t, blocks, 3)
 	for _, block := range blocks {
-		cfg, err := config.Parse("SETTINGS.md", []byte(block[1]))
-		require.NoError(t, err)
-		require.NoError(t, cfg.ForRoles())
+		path := filepath.Join(t.TempDir(), "settings.jsonc")
+		require.NoError(t, os.WriteFile(path, []byte(block[1]), 0o600))
+		require.NoError(t, config.Check(path))
 	}
 }
 
 // TestPageFields shows that the settings page has a row for each field, with
 // its default.
 func TestPageFields(t *testing.T) {
+	for name, sections := range map[string]reflect.Type{
+		"hosts with a key-value service": reflect.TypeFor[config.Config](),
+		"users' platform":                reflect.TypeFor[config.Gate](),
+	} {
+		t.Run(name, func(t *testing.T) { requireRows(t, sections) })
+	}
+}
+
+func requireRows(t *testing.T, sections reflect.Type) {
+	t.Helper()
 	page := readPage(t)
-	sections := reflect.TypeFor[config.Config]()
 	for i := range sections.NumField() {
 		section := sections.Field(i)
 		if !section.IsExported() {
--- a/config/gate.go
+++ b/config/gate.go
@@ -1,10 +1,15 @@
 package config
 
 import (
+	"bytes"
+	"encoding/json"
+	"errors"
 	"net/netip"
 	"reflect"
 	"time"
 
+	"github.com/tailscale/hujson"
+
 	"chervilreach/core/fleet"
 )
 
@@ -100,6 +105,61 @@
 	return c, joinFaults(f.list)
 }
 
+// Check reads a settings file of either kind and checks it for the roles that it
+// has sections for. A file with a section "store" is one of a process on the
+// users' platform.
+func Check(path string) error {
+	data, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	if !hasStore(data) {
+		cfg, err := Parse(path, data)
+		if err != nil {
+			return err
+		}
+		return cfg.ForRoles()
+	}
+	cfg, err := ParseGate(path, data)
+	if err != nil {
+		return err
+	}
+	return cfg.ForRoles()
+}
+
+// hasStore says whether a file has a section "store". One that can't be read has
+// none; its faults are found when it is parsed.
+func hasStore(data []byte) bool {
+	text, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return false
+	}
+	var sections map[string]json.RawMessage
+	if json.Unmarshal(text, &sections) != nil {
+		return false
+	}
+	return sections["store"] != nil
+}
+
+// ForRoles applies ForRouter and ForAgent as the sections of the file ask for:
+// callers are a router's, an endpoint is an agent's.
+func (c *Gate) ForRoles() error {
+	callers, endpoint := c.source.has("callers"), c.source.has("endpoint")
+	if !callers && !endpoint {
+		f := faults{source: c.source}
+		f.add(ErrMissing, "callers", `a section "callers" or a section "endpoint"`)
+		return joinFaults(f.list)
+	}
+	var errs []error
+	if callers {
+		errs = append(errs, c.ForRouter())
+	}
+	if endpoint {
+		errs = append(errs, c.ForAgent())
+	}
+	return errors.Join(errs...)
+}
+
 // ForRouter says whether the settings are enough to run a router.
 func (c *Gate) ForRouter() error { return c.forRole(roleRouter) }
 
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -32,18 +32,29 @@
 
 // choose returns the endpoint that is likely to answer first and may serve the
 // request now; nil if there is none.
-func (s *State) choose(r *request) *endpoint {
+func (s *State) choose(r *request) (*endpoint, Basis) {
 	var best *endpoint
-	least := 0.0
+	least, candidates := 0.0, 0
 	for _, e := range s.endpoints {
 		if !s.serves(e, r) || e.full() || s.wouldStall(e, r) {
 			continue
 		}
+		candidates++
 		if cost := s.cost(e, r); best == nil || cost < least {
 			best, least = e, cost
 		}
 	}
-	return best
+	if best == nil {
+		return nil, Basis{}
+	}
+	basis := Basis{
+		Candidates: candidates, Cost: time.Duration(least * float64(time.Millisecond)),
+		Load: best.load(), ReportedAt: best.reportedAt,
+	}
+	if s.table != nil {
+		basis.Routes = s.table.Version
+	}
+	return best, basis
 }
 
 // serves says whether an endpoint may be sent the request at all.
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -18,6 +18,8 @@
 	LastEvent int64
 	// Version is that of the weights which must go on with the stream; 0 for any.
 	Version int64
+	// Basis is what the endpoint was chosen by.
+	Basis Basis
 	// Urgency is the rank among the endpoint's requests; 0 is the first, and below
 	// 0 it has none.
 	Urgency int
@@ -29,6 +31,36 @@
 // Routine implements event.Routine.
 func (Send) Routine() {}
 
+// Basis is what a choice went by.
+type Basis struct {
+	// Candidates is how many endpoints could have served the request now.
+	Candidates int
+	// Cost is the expected time to the first part of the answer.
+	Cost time.Duration
+	// Load is how many requests the endpoint had, from all routers.
+	Load int
+	// ReportedAt is when its agent last reported; zero without an agent.
+	ReportedAt time.Time
+	// Routes is the version of the routes in force.
+	Routes int64
+}
+
+// Wait tells that a request waits, and for what.
+type Wait struct {
+	ID RequestID
+	// Instance is the endpoint that is asked to load what the request needs; empty
+	// when the request waits for room.
+	Instance string
+	// ReadyAt is when the request is expected to be sent.
+	ReadyAt time.Time
+}
+
+// Kind implements event.Effect.
+func (Wait) Kind() string { return "relay-wait" }
+
+// Routine implements event.Routine.
+func (Wait) Routine() {}
+
 // Reason says why a request is refused or fails.
 type Reason string
 
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -27,6 +27,8 @@
 type endpoint struct {
 	Member
 	hasAgent bool
+	// reportedAt is when the agent last reported.
+	reportedAt time.Time
 	// running, unread: this router's attempts, and the tokens of prompts among
 	// them that have not begun to answer.
 	running, unread int
@@ -57,7 +59,8 @@
 	}
 }
 
-func (e *endpoint) report(r stock.Report) {
+func (e *endpoint) report(r stock.Report, now time.Time) {
+	e.reportedAt = now
 	if len(r.Copies.Disk) == 0 && len(r.Copies.Memory) == 0 {
 		r.Copies = e.Stock.Copies
 	}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -62,6 +62,8 @@
 	version int64
 	// answering says that a part of the answer has been passed on.
 	answering bool
+	// waitsFor is the endpoint whose load it waits for, or waitsForRoom.
+	waitsFor string
 	// failed says that the endpoint's own failure is at hand.
 	failed    bool
 	arrivedAt time.Time
@@ -136,8 +138,8 @@
 		return
 	}
 	if !s.now.Before(r.notBefore) {
-		if e := s.choose(r); e != nil {
-			s.send(r, e)
+		if e, basis := s.choose(r); e != nil {
+			s.send(r, e, basis)
 			return
 		}
 		s.forgive(r)
@@ -166,7 +168,7 @@
 	return !ok
 }
 
-func (s *State) send(r *request, e *endpoint) {
+func (s *State) send(r *request, e *endpoint, basis Basis) {
 	s.unwait(r)
 	r.at, r.began, r.sentAt = e, false, s.now
 	r.tries++
@@ -177,7 +179,7 @@
 	s.prompts.sent(r, e.Instance)
 	s.emit(Send{
 		ID: r.id, Try: r.tries, Instance: e.Instance, Address: e.Address, Deadline: r.Deadline,
-		LastEvent: r.LastEvent, Version: r.version, Urgency: r.Route.Priority,
+		LastEvent: r.LastEvent, Version: r.version, Urgency: r.Route.Priority, Basis: basis,
 	})
 }
 
@@ -279,7 +281,7 @@
 	if e == nil {
 		return
 	}
-	e.report(ev.Report)
+	e.report(ev.Report, s.now)
 	s.budget.routers = max(ev.Report.Routers, 1)
 	s.checkWants(e)
 	s.serveWaiting()
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -34,6 +34,7 @@
 	s.emitWake(r.Deadline)
 	readyAt, reason := s.expected(r)
 	if reason == "" && readyAt.Add(startMargin).Before(r.Deadline) {
+		s.tellWait(r, readyAt)
 		return
 	}
 	if reason == "" {
@@ -42,6 +43,22 @@
 	s.refuse(r, reason, s.retryAt(readyAt))
 }
 
+// waitsForRoom stands in place of an endpoint for requests that wait for room.
+const waitsForRoom = "room"
+
+// tellWait tells what a request waits for, whenever that has changed.
+func (s *State) tellWait(r *request, readyAt time.Time) {
+	instance, waitsFor := "", waitsForRoom
+	if w := s.wants[wantKey{r.Service, r.Item}]; w != nil && w.instance != "" {
+		instance, waitsFor = w.instance, w.instance
+	}
+	if r.waitsFor == waitsFor {
+		return
+	}
+	r.waitsFor = waitsFor
+	s.emit(Wait{ID: r.id, Instance: instance, ReadyAt: readyAt})
+}
+
 // retryAt is when a repeat of a refused request is likely to be served.
 func (s *State) retryAt(readyAt time.Time) time.Time {
 	if readyAt.IsZero() {
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"chervilreach/core/fleet"
@@ -39,6 +40,31 @@
 	return &Log{Logger: logger, queue: queue}, nil
 }
 
+// Bound lets so many lines a second through at the level info and below it; the
+// number of those left out so far is written once a second. Warnings and errors always pass.
+func (l *Log) Bound(most uint32) {
+	left := &leftOut{log: l.Logger}
+	burst := &zerolog.BurstSampler{Burst: most, Period: time.Second, NextSampler: left}
+	l.Logger = l.Sample(zerolog.LevelSampler{DebugSampler: burst, InfoSampler: burst})
+}
+
+// leftOut counts lines that are left out and tells of them once a second.
+type leftOut struct {
+	log    zerolog.Logger
+	n      atomic.Int64
+	toldAt atomic.Int64
+}
+
+// Sample implements zerolog.Sampler: it lets no line through.
+func (l *leftOut) Sample(zerolog.Level) bool {
+	n := l.n.Add(1)
+	now := time.Now().Unix()
+	if at := l.toldAt.Load(); now > at && l.toldAt.CompareAndSwap(at, now) {
+		l.log.Warn().Int64("left-out", n).Msg("lines left out")
+	}
+	return false
+}
+
 // Close writes the lines that wait.
 func (l *Log) Close() error {
 	if err := l.queue.Close(); err != nil {
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -15,8 +15,10 @@
 
 	"chervilreach/config"
 	"chervilreach/core/event"
+	"chervilreach/core/fleet"
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
+	"chervilreach/io/admin"
 	"chervilreach/io/line"
 	"chervilreach/io/logs"
 	"chervilreach/io/mirror"
@@ -33,10 +35,15 @@
 	// balancer sees that it is not ready and callers learn that their connections
 	// end.
 	leaveTime = 2900 * time.Millisecond
+	// linesPerSecond bounds the lines of a process at the level info: above what a
+	// busy day writes, below what a small core can afford.
+	linesPerSecond = 400
 	// stopMargin is left of the time for stopping when requests are cut off.
 	stopMargin = 300 * time.Millisecond
 )
 
+var errNotReady = errors.New("routes or endpoints are not known yet, or the process is leaving")
+
 // Platform is what a process needs of the users' platform.
 type Platform struct {
 	Store   mirror.Store
@@ -61,25 +68,31 @@
 
 // Relay is a router process on the platform.
 type Relay struct {
-	cfg    *config.Gate
-	plat   Platform
-	log    *logs.Log
-	daemon *relayd.Daemon
-	mirror *mirror.Mirror
-	calls  *http.Server
-	ready  *http.Server
-	stop   context.CancelFunc
-	failed chan error
+	cfg       *config.Gate
+	plat      Platform
+	log       *logs.Log
+	daemon    *relayd.Daemon
+	registry  metrics.Registry
+	recorder  *line.Recorder
+	startedAt time.Time
+	admin     *http.Server
+	mirror    *mirror.Mirror
+	calls     *http.Server
+	ready     *http.Server
+	stop      context.CancelFunc
+	failed    chan error
 }
 
 // NewRelay puts a router together from settings that are complete for one.
 func NewRelay(cfg *config.Gate, log *logs.Log, platform Platform) *Relay {
 	r := &Relay{cfg: cfg, plat: platform, log: log, failed: make(chan error, 2)}
 	clock := &event.Clock{}
+	r.registry = metrics.NewRegistry()
+	r.recorder = newLine(cfg, log, clock, r.registry)
 	r.daemon = relayd.New(relayd.Options{
 		Settings: relaySettings(cfg),
 		Dialect:  platform.Dialect, Log: log.Logger, Clock: clock,
-		Recorder:  newLine(cfg, log, clock),
+		Recorder: r.recorder, Metrics: r.registry,
 		AgentOf:   platform.AgentOf,
 		MaxBodies: int64(cfg.Callers.MaxBodies),
 		Lagging:   func() { r.mirror.Refresh() },
@@ -98,9 +111,8 @@
 }
 
 // newLine returns the time line of a process on a small host.
-func newLine(cfg *config.Gate, log *logs.Log, clock *event.Clock) *line.Recorder {
-	limits := line.DefaultLimits()
-	return line.New(cfg.Process.ID, clock, limits, line.WithMetrics(metrics.NewRegistry()), line.WithLog(log.Logger))
+func newLine(cfg *config.Gate, log *logs.Log, clock *event.Clock, registry metrics.Registry) *line.Recorder {
+	return line.New(cfg.Process.ID, clock, line.DefaultLimits(), line.WithMetrics(registry), line.WithLog(log.Logger))
 }
 
 func (r *Relay) answerReady(w http.ResponseWriter, req *http.Request) {
@@ -124,6 +136,12 @@
 	if err := r.listen(ctx, r.calls, r.cfg.Callers.Listen); err != nil {
 		return err
 	}
+	l, err := listen(ctx, nil, r.cfg.Process.Admin)
+	if err != nil {
+		return err
+	}
+	r.startedAt = time.Now()
+	r.admin = serveAdmin(l, admin.Parts{Source: r, Recorder: r.recorder, Metrics: r.registry})
 	go r.daemon.Run(ctx)
 	go r.mirror.Run(ctx)
 	r.log.Info().Stringer("callers", r.cfg.Callers.Listen).Msg("started")
@@ -171,6 +189,26 @@
 	}
 }
 
+// Healthy implements admin.Source.
+func (r *Relay) Healthy() error { return nil }
+
+// Ready implements admin.Source.
+func (r *Relay) Ready() error {
+	if !r.daemon.Ready() {
+		return errNotReady
+	}
+	return nil
+}
+
+// Status implements admin.Source.
+func (r *Relay) Status() admin.Status {
+	return admin.Status{
+		Process: r.cfg.Process.ID, Domain: r.cfg.Process.FailureDomain, Started: r.startedAt,
+		Revision: fleet.Revision(r.daemon.Version()), Draining: r.daemon.Leaving(),
+		Router: &admin.RouterStatus{Calls: r.daemon.InProgress()},
+	}
+}
+
 // Failed tells of the first failure of a server.
 func (r *Relay) Failed() <-chan error { return r.failed }
 
@@ -189,6 +227,7 @@
 	case <-ctx.Done():
 	case <-time.After(leaveTime):
 	}
+	defer func() { _ = r.admin.Close() }()
 	if err := r.calls.Shutdown(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.InProgress()).Msg("stopped with requests in progress")
 		return fmt.Errorf("finish requests: %w", err)
@@ -207,5 +246,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
 	}
+	log.Bound(linesPerSecond)
 	return log, nil
 }
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -7,9 +7,14 @@
 	"net"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"chervilreach/config"
 	"chervilreach/core/event"
+	"chervilreach/core/fleet"
 	"chervilreach/core/route"
+	"chervilreach/io/admin"
+	"chervilreach/io/line"
 	"chervilreach/io/logs"
 	"chervilreach/io/mirror"
 	"chervilreach/io/swapd"
@@ -42,25 +47,30 @@
 
 // Swap is the process of an agent on the platform.
 type Swap struct {
-	cfg    *config.Gate
-	plat   SwapPlatform
-	log    *logs.Log
-	daemon *swapd.Daemon
-	mirror *mirror.Mirror
-	stop   context.CancelFunc
-	failed chan error
+	cfg       *config.Gate
+	plat      SwapPlatform
+	log       *logs.Log
+	daemon    *swapd.Daemon
+	mirror    *mirror.Mirror
+	registry  metrics.Registry
+	recorder  *line.Recorder
+	startedAt time.Time
+	stop      context.CancelFunc
+	failed    chan error
 }
 
 // NewSwap puts an agent together from settings that are complete for one.
 func NewSwap(cfg *config.Gate, log *logs.Log, platform SwapPlatform) *Swap {
 	clock := &event.Clock{}
 	s := &Swap{cfg: cfg, plat: platform, log: log, failed: make(chan error, 1)}
+	s.registry = metrics.NewRegistry()
+	s.recorder = newLine(cfg, log, clock, s.registry)
 	s.mirror = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.Prefix, Pace: configPace, Wait: configWait, Log: log.Logger,
 		Changed: s.changed,
 	})
 	s.daemon = swapd.New(swapd.Options{
-		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: newLine(cfg, log, clock),
+		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder,
 		Lagging: func(int64) { s.mirror.Refresh() },
 	})
 	return s
@@ -79,6 +89,12 @@
 			s.failed <- err
 		}
 	}()
+	la, err := listen(ctx, nil, s.cfg.Process.Admin)
+	if err != nil {
+		return err
+	}
+	s.startedAt = time.Now()
+	serveAdmin(la, admin.Parts{Source: s, Recorder: s.recorder, Metrics: s.registry})
 	go s.daemon.Run(ctx)
 	go s.fence(ctx)
 	go s.mirror.Run(ctx)
@@ -119,6 +135,20 @@
 	s.log.Info().Msg("settings reloaded")
 }
 
+// Healthy implements admin.Source.
+func (s *Swap) Healthy() error { return nil }
+
+// Ready implements admin.Source.
+func (s *Swap) Ready() error { return nil }
+
+// Status implements admin.Source.
+func (s *Swap) Status() admin.Status {
+	return admin.Status{
+		Process: s.cfg.Process.ID, Domain: s.cfg.Process.FailureDomain, Started: s.startedAt,
+		Revision: fleet.Revision(s.daemon.Version()),
+	}
+}
+
 // Failed tells of the failure of the listener.
 func (s *Swap) Failed() <-chan error { return s.failed }
 
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/event"
@@ -29,6 +30,8 @@
 	Log      zerolog.Logger
 	Recorder loop.Recorder
 	Clock    *event.Clock
+	// Metrics takes in the counters and times of requests; nil for none.
+	Metrics metrics.Registry
 	// AgentOf returns where the agent beside an endpoint listens; the address is
 	// invalid if none is to be expected.
 	AgentOf func(m relay.Member) netip.AddrPort
@@ -51,6 +54,7 @@
 	known   atomic.Bool
 	leaving atomic.Bool
 	agents  *agents
+	meters  meters
 	bodies  atomic.Int64
 
 	mu        sync.Mutex
@@ -62,7 +66,7 @@
 func New(opts Options) *Daemon {
 	d := &Daemon{
 		opts: opts, log: opts.Log, pool: conns.NewPool(),
-		exchanges: make(map[relay.RequestID]*exchange),
+		exchanges: make(map[relay.RequestID]*exchange), meters: newMeters(opts.Metrics),
 	}
 	d.loop = loop.New(relay.New(opts.Settings), opts.Recorder)
 	d.agents = newAgents(d)
@@ -121,6 +125,12 @@
 	return !d.leaving.Load() && d.known.Load() && d.table.Load() != nil
 }
 
+// Version returns the version of the routes in force; 0 if there are none.
+func (d *Daemon) Version() int64 { return self{d}.Revision() }
+
+// Leaving says whether Leave has been called.
+func (d *Daemon) Leaving() bool { return d.leaving.Load() }
+
 // Leave has callers told that their connections end with the next answer.
 func (d *Daemon) Leave() { d.leaving.Store(true) }
 
@@ -155,6 +165,8 @@
 		x.d.tell(eff.ID, eff)
 	case relay.Ask:
 		x.d.agents.ask(eff)
+	case relay.Wait:
+		x.d.logWait(eff)
 	}
 }
 
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -47,6 +47,7 @@
 	commands chan any
 	// callerDeadline is when the caller gives up; zero if it does not say.
 	callerDeadline time.Time
+	arrivedAt      time.Time
 	// headed says that the head of the answer has been passed on.
 	headed bool
 	// last is the last event passed on.
@@ -66,6 +67,7 @@
 func (x *exchange) run(ctx context.Context) {
 	x.d.open(x)
 	defer x.d.close(x)
+	x.arrivedAt = time.Now()
 	x.d.loop.Post(relay.Arrive{ID: x.id, Request: x.request})
 	for {
 		select {
@@ -159,9 +161,11 @@
 	x.logAttempt(send, ended, began, err)
 	x.d.loop.Post(ended)
 	if ended.Result == relay.Done || ended.Result == relay.Abandoned {
-		if ended.Result == relay.Abandoned && x.headed {
+		if ended.Result == relay.Abandoned {
+			x.log("left", "caller has left")
 			panic(http.ErrAbortHandler)
 		}
+		x.d.meters.outcome("answered", x.arrivedAt)
 		return true
 	}
 	return false
@@ -194,7 +198,7 @@
 		return conns.Keep{}, fmt.Errorf("send request: %w", err)
 	}
 	ended.Result = relay.Broken
-	resp, verdict, err := x.readHead(c)
+	resp, verdict, err := x.readHead(c) //nolint:bodyclose // The connection is kept or reset as a whole.
 	if err != nil {
 		return conns.Keep{}, err
 	}
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -8,17 +8,39 @@
 
 // log writes how a request ended.
 func (x *exchange) log(outcome, why string) {
+	x.d.meters.outcome(outcome, x.arrivedAt)
 	x.d.log.Info().Str("request", x.request.Attempt).Str("route", x.route.Name).
 		Str("model", x.request.Item.Model).Str("adapter", x.request.Item.Adapter).
+		Int64("took-ms", time.Since(x.arrivedAt).Milliseconds()).
 		Int64("left-ms", time.Until(x.request.Deadline).Milliseconds()).
 		Str("outcome", outcome).Str("why", why).Msg("request")
 }
 
-// logAttempt writes how an attempt ended.
+// logAttempt writes how an attempt ended and what its endpoint was chosen by.
 func (x *exchange) logAttempt(send relay.Send, ended relay.Ended, began time.Time, err error) {
-	x.d.log.Info().Str("request", x.request.Attempt).Str("route", x.route.Name).Int("try", send.Try).
+	x.d.meters.attempt(ended.Result)
+	e := x.d.log.Info().Str("request", x.request.Attempt).Str("route", x.route.Name).Int("try", send.Try).
 		Str("endpoint", send.Instance).Str("model", x.request.Item.Model).
-		Int64("took-ms", time.Since(began).Milliseconds()).
+		Int("candidates", send.Basis.Candidates).Int64("expected-ms", send.Basis.Cost.Milliseconds()).
+		Int("load", send.Basis.Load).Int64("routes", send.Basis.Routes)
+	if !send.Basis.ReportedAt.IsZero() {
+		e = e.Int64("report-age-ms", began.Sub(send.Basis.ReportedAt).Milliseconds())
+	}
+	e.Int64("took-ms", time.Since(began).Milliseconds()).
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
 		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err).Msg("attempt")
 }
+
+// logWait writes what a request waits for.
+func (d *Daemon) logWait(eff relay.Wait) {
+	d.mu.Lock()
+	x := d.exchanges[eff.ID]
+	d.mu.Unlock()
+	if x == nil {
+		return
+	}
+	d.log.Info().Str("request", x.request.Attempt).Str("route", x.route.Name).
+		Str("model", x.request.Item.Model).Str("adapter", x.request.Item.Adapter).
+		Str("endpoint", eff.Instance).Int64("expected-ms", time.Until(eff.ReadyAt).Milliseconds()).
+		Int64("left-ms", time.Until(x.request.Deadline).Milliseconds()).Msg("wait")
+}
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -44,6 +44,7 @@
 		}
 		if !begun {
 			begun = true
+			x.d.meters.first.UpdateSince(x.arrivedAt)
 			x.d.loop.Post(relay.Begun{ID: x.id})
 		}
 		if !x.next(ev) {
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -91,6 +91,12 @@
 	d.loop.Post(swap.Adopted{Engine: e})
 }
 
+// Version returns the version of the routes that the agent knows.
+func (d *Daemon) Version() int64 {
+	version, _ := d.routes()
+	return version
+}
+
 // routes returns the operator's routes and their version; 0 if there are none.
 func (d *Daemon) routes() (int64, []byte) {
 	d.mu.Lock()
