--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -7,7 +7,7 @@
 	budgetSlots = 10
 	// budgetShare keeps repeats below the bound, as routers see windows that begin
 	// at other moments and a caller's repeats look like requests.
-	budgetShare = 0.6
+	budgetShare = 0.75
 	// fewestRouters is assumed until an agent has told how many there are.
 	fewestRouters = 8
 )
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -65,7 +65,7 @@
 	if r.Item.Model == "" || s.table.Engine(e.Service) == nil {
 		return true
 	}
-	return e.Stock.Holds(r.Item)
+	return e.confirmed(s.now) && e.Stock.Holds(r.Item)
 }
 
 // wouldStall says whether one more prompt would have the streams of an endpoint
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -16,6 +16,9 @@
 	ejectTime = 2 * time.Second
 	// unreachableTime is how long an endpoint that can't be reached is left out.
 	unreachableTime = 700 * time.Millisecond
+	// confirmTime is how long the agent beside a newly listed endpoint may take to
+	// report before the endpoint is used without.
+	confirmTime = 1500 * time.Millisecond
 	// speedWeight is the weight of the latest prompt in the speed of reading.
 	speedWeight = 0.1
 	// firstSpeed is assumed until a prompt has been read, in tokens per ms: slower
@@ -27,6 +30,8 @@
 type endpoint struct {
 	Member
 	hasAgent bool
+	// listedAt is when the endpoint was first seen on the list.
+	listedAt time.Time
 	// reportedAt is when the agent last reported.
 	reportedAt time.Time
 	// running, unread: this router's attempts, and the tokens of prompts among
@@ -45,8 +50,8 @@
 	asked stock.Demand
 }
 
-func newEndpoint(m Member) *endpoint {
-	return &endpoint{Member: m, models: make(map[string]int), speed: firstSpeed}
+func newEndpoint(m Member, now time.Time) *endpoint {
+	return &endpoint{Member: m, listedAt: now, models: make(map[string]int), speed: firstSpeed}
 }
 
 // update takes in the platform's entry. An agent's report is newer than what
@@ -110,6 +115,12 @@
 	}
 }
 
+// confirmed says whether an endpoint with models is known to live: its agent has
+// reported, or has had the time to. Entries outlast endpoints by some seconds.
+func (e *endpoint) confirmed(now time.Time) bool {
+	return !e.HasModels || !e.reportedAt.IsZero() || !now.Before(e.listedAt.Add(confirmTime))
+}
+
 // load is how many requests the engine has, from all routers, as far as known.
 func (e *endpoint) load() int {
 	if !e.hasAgent {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -220,6 +220,19 @@
 	}
 }
 
+// After a loss of power the list still names the endpoints of before: requests
+// sent to them use up the budget for repeats.
+func TestUnconfirmedEndpointGetsNothingAtFirst(t *testing.T) {
+	dead := member("dead", llm)
+	dead.Stock = stock.Report{Instance: "dead", Models: []stock.Held{{Model: "a"}}}
+	w := newWorld(t, dead, member("live", llm))
+	w.report("live", holding("b"))
+	w.arrive(streamRoute(), modelA)
+	assert.Empty(t, effectsOf[Send](w))
+	w.pass(confirmTime)
+	assert.Equal(t, "dead", only[Send](w).Instance, "an endpoint may be without an agent")
+}
+
 func TestDeadlineEndsWaiting(t *testing.T) {
 	w := newWorld(t, member("e1", llm))
 	w.report("e1", holding("b"))
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -252,7 +252,7 @@
 	for _, m := range ev.List {
 		e := old[m.Instance]
 		if e == nil {
-			e = newEndpoint(m)
+			e = newEndpoint(m, s.now)
 		}
 		delete(old, m.Instance)
 		e.update(m)
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -39,6 +39,10 @@
 	helloBound = 500 * time.Millisecond
 	// pingBound is how long a connection in use may leave a ping unanswered.
 	pingBound = 200 * time.Millisecond
+	// heldUp is how late a timer may be before the process counts as held up, and
+	// pingTries how often a ping's bound is given then.
+	heldUp    = 50 * time.Millisecond
+	pingTries = 3
 	// pingBusy and pingIdle are the times between pings of a connection with
 	// and without open streams.
 	pingBusy = 100 * time.Millisecond
@@ -258,14 +262,31 @@
 		_, err := c.session.Ping()
 		result <- err
 	}()
-	timer := time.NewTimer(pingBound)
-	defer timer.Stop()
-	select {
-	case err := <-result:
-		return err == nil
-	case <-timer.C:
-		return false
+	return answered(result, time.Now)
+}
+
+// answered waits for the answer to a ping. A bound that is noticed late tells of
+// a process that was held up, not of a silent peer, and is given once more.
+func answered(result <-chan error, now func() time.Time) bool {
+	for range pingTries {
+		until := now().Add(pingBound)
+		timer := time.NewTimer(pingBound)
+		select {
+		case err := <-result:
+			timer.Stop()
+			return err == nil
+		case <-timer.C:
+		}
+		select {
+		case err := <-result:
+			return err == nil
+		default:
+		}
+		if now().Before(until.Add(heldUp)) {
+			return false
+		}
 	}
+	return false
 }
 
 // Open starts a new stream.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,6 +73,8 @@
 	}},
 	{"replica crashes", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
 		r := pick(rnd, s.f.replicas)
+		r.faulty.Lock()
+		defer r.faulty.Unlock()
 		if err := r.Crash(); err != nil {
 			return err
 		}
@@ -81,6 +83,8 @@
 	}},
 	{"replica is replaced", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
 		r := pick(rnd, s.f.replicas)
+		r.faulty.Lock()
+		defer r.faulty.Unlock()
 		name, begun := r.Instance(), time.Now()
 		r.Drain()
 		sleep(ctx, leaveTime)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -58,6 +58,8 @@
 type replica struct {
 	*mock.Replica
 	link *proxy
+	// faulty is held by the fault that works on the replica itself.
+	faulty sync.Mutex
 }
 
 // fleet is a deployment on loopback.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,8 @@
 	"short": {1, 6 * time.Second},
 	// Two faults restarted the same router at once; the harness started it twice.
 	"router stopped and killed at once": {3, 12 * time.Second},
+	// Two faults replaced the same replica at once; the harness started it twice.
+	"replica replaced twice at once": {103, 12 * time.Second},
 }
 
 // build returns the program, built as it is delivered.
