--- /dev/null
+++ b/core/relay/bench_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+)
+
+// Figures of the target size.
+const (
+	targetEndpoints = 6000
+	targetModels    = 240
+	heldModels      = 3
+)
+
+// targetState is a router's view of the whole fleet at the target size.
+func targetState(tb testing.TB) (*State, time.Time) {
+	tb.Helper()
+	now := time.UnixMilli(1_000_000)
+	models := make(map[string]route.Model, targetModels)
+	for i := range targetModels {
+		name := fmt.Sprintf("m%d", i)
+		models[name] = route.Model{Name: name, Size: 70_000, FromStore: 9 * time.Second, FromDisk: 2 * time.Second, FromMemory: time.Second}
+	}
+	engine := &route.Engine{Slots: 64, Memory: 230_000, AdapterSlots: 8, KVCapacity: 130_000, LoadsPerSecond: 2, Models: models}
+	s := New(Settings{Zone: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second})
+	s.Apply(now, Adopted{Table: route.New(1, route.Limits{}, nil, []*route.Service{{Name: llm, Engine: engine}})})
+	list := make([]Member, 0, targetEndpoints)
+	for i := range targetEndpoints {
+		list = append(list, member(fmt.Sprintf("i-%05d", i), llm))
+	}
+	s.Apply(now, Members{List: list})
+	for i, m := range list {
+		r := stock.Report{Instance: m.Instance, KVTotal: 130_000, Routers: 330, Running: i % 20}
+		for n := range heldModels {
+			r.Models = append(r.Models, stock.Held{Model: fmt.Sprintf("m%d", (i*heldModels+n)%targetModels)})
+		}
+		s.Apply(now, Reported{Report: r})
+	}
+	return s, now
+}
+
+func targetRequest(now time.Time, n int) Request {
+	return Request{
+		Attempt: "a", Route: streamRoute(), Service: llm, Item: stock.Item{Model: fmt.Sprintf("m%d", n%targetModels)},
+		TokensIn: 1400, TokensOut: 170, Deadline: now.Add(15 * time.Second), LastEvent: NoEvent,
+		Prefix: []Part{{"p", 350}, {fmt.Sprintf("s%d", n%997), 1050}},
+	}
+}
+
+// BenchmarkRequestAtTarget measures all decisions of one request: it arrives, is
+// sent, begins and ends.
+func BenchmarkRequestAtTarget(b *testing.B) {
+	s, now := targetState(b)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		serveOne(s, now, n)
+	}
+}
+
+func serveOne(s *State, now time.Time, n int) {
+	id := RequestID(n + 1)
+	s.Apply(now, Arrive{ID: id, Request: targetRequest(now, n)})
+	s.Apply(now, Begun{ID: id})
+	s.Apply(now, Ended{ID: id, Result: Done, LastEvent: 56})
+}
+
+// BenchmarkReportAtTarget measures taking in one agent's report.
+func BenchmarkReportAtTarget(b *testing.B) {
+	s, now := targetState(b)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		e := s.endpoints[n%targetEndpoints]
+		s.Apply(now, Reported{Report: e.Stock})
+	}
+}
+
+// A choice looks at the holders of the model only, however large the fleet is.
+func TestChoiceLooksAtHoldersOnly(t *testing.T) {
+	s, now := targetState(t)
+	s.Apply(now, Arrive{ID: 1, Request: targetRequest(now, 7)})
+	holders := targetEndpoints * heldModels / targetModels
+	assert.Len(t, s.candidates(llm, "m7"), holders)
+	allocs := testing.AllocsPerRun(200, func() { serveOne(s, now, 10) })
+	assert.LessOrEqual(t, allocs, 40.0, "objects for the decisions of one request")
+}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -35,12 +35,17 @@
 func (s *State) choose(r *request) (*endpoint, Basis) {
 	var best *endpoint
 	least, candidates := 0.0, 0
-	for _, e := range s.endpoints {
+	reader, kept := s.prompts.kept(r)
+	for _, e := range s.candidates(r.Service, r.Item.Model) {
 		if !s.serves(e, r) || e.full() || s.wouldStall(e, r) {
 			continue
 		}
 		candidates++
-		if cost := s.cost(e, r); best == nil || cost < least {
+		unread := r.TokensIn
+		if e.Instance == reader {
+			unread -= kept
+		}
+		if cost := s.cost(e, r, unread); best == nil || cost < least {
 			best, least = e, cost
 		}
 	}
@@ -84,8 +89,9 @@
 	return e.Slots > 0 && e.load() >= e.Slots+max(e.Slots*queueMost/16, 1)
 }
 
-// cost estimates the time to the first event, in ms.
-func (s *State) cost(e *endpoint, r *request) float64 {
+// cost estimates the time to the first event, in ms, where so many tokens of the
+// prompt are to be read.
+func (s *State) cost(e *endpoint, r *request, unread int) float64 {
 	cost := e.failures * perFailure
 	if e.Zone != s.cfg.Zone {
 		cost += crossZone
@@ -96,7 +102,7 @@
 	if r.Item.Model == "" {
 		return cost + float64(e.load())/float64(max(e.Slots, 1))*msOf(r.Route.Objective)
 	}
-	unread := e.unread + r.TokensIn - s.prompts.kept(r, e.Instance)
+	unread += e.unread
 	if e.hasAgent && e.Stock.Waiting > 0 {
 		unread += e.Stock.Waiting * r.TokensIn
 	}
@@ -109,8 +115,8 @@
 // holders returns how many endpoints hold the item and may be used.
 func (s *State) holders(service string, item stock.Item) int {
 	n := 0
-	for _, e := range s.endpoints {
-		if e.Service == service && !e.Leaving && e.Stock.Holds(item) {
+	for _, e := range s.candidates(service, item.Model) {
+		if !e.Leaving && e.Stock.Holds(item) {
 			n++
 		}
 	}
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -55,7 +55,7 @@
 		}
 		models = append(models, h)
 	}
-	e.Stock.Models = models
+	s.restock(e, func() { e.Stock.Models = models })
 }
 
 func without(list []string, name string) []string {
--- a/core/relay/prompts.go
+++ b/core/relay/prompts.go
@@ -30,20 +30,20 @@
 	}
 }
 
-// kept returns how many tokens of the prompt the endpoint has read before, up
-// to the first part that it has not.
-func (p *prompts) kept(r *request, instance string) int {
-	tokens := 0
+// kept returns which endpoint has read the beginning of the prompt before, and
+// how many tokens up to the first part that it has not.
+func (p *prompts) kept(r *request) (instance string, tokens int) {
 	for _, part := range r.Prefix {
 		key := promptKey{r.Item, part.ID}
 		at, ok := p.newer[key]
 		if !ok {
 			at = p.older[key]
 		}
-		if at != instance {
-			return tokens
+		if at == "" || tokens > 0 && at != instance {
+			return instance, tokens
 		}
+		instance = at
 		tokens += part.Tokens
 	}
-	return tokens
+	return instance, tokens
 }
--- a/core/relay/spread.go
+++ b/core/relay/spread.go
@@ -28,6 +28,9 @@
 		return
 	}
 	s.spreadAt = s.now.Add(spreadTime)
+	for _, c := range s.copies {
+		s.dirty[c.instance] = true
+	}
 	s.copies = s.copies[:0]
 	for _, name := range slices.Sorted(maps.Keys(s.demand)) {
 		t := s.demand[name]
@@ -66,6 +69,7 @@
 			return
 		}
 		passed = append(passed, e.Instance)
+		s.dirty[e.Instance] = true
 		s.copies = append(s.copies, copyWant{e.Instance, stock.Want{
 			Item: item, Priority: math.MaxInt16, Deadline: s.now.Add(spreadUntil), Rate: rate / float64(n+1),
 		}})
@@ -95,8 +99,8 @@
 // loading returns how many endpoints load the item.
 func (s *State) loading(service string, item stock.Item) int {
 	n := 0
-	for _, e := range s.endpoints {
-		if _, ok := e.Stock.Loading(item); ok && e.Service == service && !e.Leaving {
+	for _, e := range s.index.services[service] {
+		if _, ok := e.Stock.Loading(item); ok && !e.Leaving {
 			n++
 		}
 	}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -27,7 +27,10 @@
 	cfg       Settings
 	table     *route.Table
 	endpoints []*endpoint
-	requests  map[RequestID]*request
+	index     index
+	// dirty are endpoints whose agents are to be told what is asked of them.
+	dirty    map[string]bool
+	requests map[RequestID]*request
 	// waiting are the requests that are not at an endpoint, in the order in which
 	// they are served.
 	waiting []*request
@@ -79,6 +82,8 @@
 		wants:    make(map[wantKey]*want),
 		demand:   make(map[string]*traffic),
 		prompts:  newPrompts(),
+		index:    newIndex(),
+		dirty:    make(map[string]bool),
 		budget:   newBudget(cfg),
 	}
 }
@@ -253,13 +258,17 @@
 		e := old[m.Instance]
 		if e == nil {
 			e = newEndpoint(m, s.now)
+		} else {
+			s.index.drop(e)
 		}
 		delete(old, m.Instance)
 		e.update(m)
+		s.index.add(e)
 		s.endpoints = append(s.endpoints, e)
 	}
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
 	for _, id := range slices.Sorted(maps.Keys(old)) {
+		s.index.drop(old[id])
 		old[id].Leaving = true
 		s.forgetWants(id)
 	}
@@ -267,9 +276,7 @@
 }
 
 func (s *State) endpoint(instance string) *endpoint {
-	i, ok := slices.BinarySearchFunc(s.endpoints, instance, func(e *endpoint, id string) int {
-		return cmp.Compare(e.Instance, id)
-	})
+	i, ok := slices.BinarySearchFunc(s.endpoints, instance, byInstance)
 	if !ok {
 		return nil
 	}
@@ -281,10 +288,10 @@
 	if e == nil {
 		return
 	}
-	e.report(ev.Report, s.now)
+	s.restock(e, func() { e.report(ev.Report, s.now) })
 	s.budget.routers = max(ev.Report.Routers, 1)
 	s.checkWants(e)
-	s.serveWaiting()
+	s.serveWaitingFor(e)
 }
 
 func (s *State) agentLost(ev AgentLost) {
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"chervilreach/core/stock"
 )
 
 const (
@@ -74,6 +76,18 @@
 	}
 }
 
+// serveWaitingFor goes through the waiting requests that a report of an endpoint
+// may help.
+func (s *State) serveWaitingFor(e *endpoint) {
+	for _, r := range slices.Clone(s.waiting) {
+		w := s.wants[wantKey{r.Service, r.Item}]
+		helps := r.Item.Model == "" || e.Stock.Holds(stock.Item{Model: r.Item.Model}) || w != nil && w.instance == e.Instance
+		if r.Service == e.Service && helps && s.requests[r.id] == r && slices.Contains(s.waiting, r) {
+			s.place(r)
+		}
+	}
+}
+
 // serveWaiting goes through the waiting requests in order.
 func (s *State) serveWaiting() {
 	for _, r := range slices.Clone(s.waiting) {
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -48,17 +49,11 @@
 // expected returns when the request can be sent, as far as known, or why not.
 func (s *State) expected(r *request) (time.Time, Reason) {
 	engine := s.table.Engine(r.Service)
-	usable := false
-	for _, e := range s.endpoints {
-		if e.Service != r.Service || e.Leaving {
-			continue
-		}
-		usable = true
-		if s.serves(e, r) {
-			// It is full; its next request ends soon.
-			return s.now, ""
-		}
+	if slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool { return s.serves(e, r) }) {
+		// All are full; their next request ends soon.
+		return s.now, ""
 	}
+	usable := slices.ContainsFunc(s.index.services[r.Service], func(e *endpoint) bool { return !e.Leaving })
 	if !usable || engine == nil || r.Item.Model == "" {
 		return time.Time{}, NoEndpoint
 	}
@@ -88,20 +83,32 @@
 	}
 	e, readyAt := s.loadPlace(key, engine, w.tried)
 	if e == nil {
-		w.instance, w.tried = "", nil
+		s.retarget(w, "")
+		w.tried = nil
 		return s.now.Add(retryNoEndpoint), ""
 	}
-	w.instance, w.askedAt = e.Instance, s.now
+	s.retarget(w, e.Instance)
+	w.askedAt = s.now
 	s.emitWake(s.now.Add(ackTime))
 	return readyAt, ""
 }
 
+// retarget has another endpoint asked for a load; none if it is empty.
+func (s *State) retarget(w *want, instance string) {
+	for _, id := range []string{w.instance, instance} {
+		if id != "" {
+			s.dirty[id] = true
+		}
+	}
+	w.instance = instance
+}
+
 // loadPlace chooses the endpoint that is to load an item.
 func (s *State) loadPlace(key wantKey, engine *route.Engine, tried []string) (*endpoint, time.Time) {
 	var best *endpoint
 	var bestAt, least time.Time
-	for _, e := range s.endpoints {
-		if e.Service != key.service || e.Leaving || !e.hasAgent || slices.Contains(tried, e.Instance) {
+	for _, e := range s.index.services[key.service] {
+		if e.Leaving || !e.hasAgent || slices.Contains(tried, e.Instance) {
 			continue
 		}
 		readyAt, cost := s.loadAt(e, key.item, engine)
@@ -208,6 +215,7 @@
 		w.requests = slices.Delete(w.requests, i, i+1)
 	}
 	if len(w.requests) == 0 {
+		s.retarget(w, "")
 		delete(s.wants, key)
 	}
 }
@@ -216,7 +224,7 @@
 func (s *State) checkWants(e *endpoint) {
 	for _, w := range s.wants {
 		if w.instance == e.Instance && e.Leaving {
-			w.instance = ""
+			s.retarget(w, "")
 		}
 	}
 }
@@ -225,32 +233,48 @@
 func (s *State) forgetWants(instance string) {
 	for _, w := range s.wants {
 		if w.instance == instance {
-			w.instance = ""
+			s.retarget(w, "")
 		}
 	}
 }
 
 // askAgents tells the agents what has changed in what is asked of them.
 func (s *State) askAgents() {
-	refresh := !s.now.Before(s.refreshAt)
-	if refresh {
+	if !s.now.Before(s.refreshAt) {
 		s.refreshAt = s.now.Add(refreshTime)
-	}
-	for _, e := range s.endpoints {
-		if !e.hasAgent || s.table.Engine(e.Service) == nil {
-			continue
+		for _, e := range s.endpoints {
+			s.askAgent(e, true)
 		}
-		wants := s.wantsOf(e)
-		if !refresh && sameWants(wants, e.asked.Wants) {
-			continue
-		}
-		demand := stock.Demand{Wants: wants, Uses: s.usesOf(e)}
-		if len(demand.Wants) == 0 && len(e.asked.Wants) == 0 && slices.Equal(demand.Uses, e.asked.Uses) {
-			continue
+		clear(s.dirty)
+		return
+	}
+	if len(s.dirty) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+		if e := s.endpoint(id); e != nil {
+			s.askAgent(e, false)
 		}
-		e.asked = demand
-		s.emit(Ask{Instance: e.Instance, Demand: demand})
 	}
+	clear(s.dirty)
+}
+
+// askAgent tells one agent its demand if that has changed; on a refresh, traffic
+// counts too.
+func (s *State) askAgent(e *endpoint, refresh bool) {
+	if !e.hasAgent || s.table.Engine(e.Service) == nil {
+		return
+	}
+	wants := s.wantsOf(e)
+	if !refresh && sameWants(wants, e.asked.Wants) {
+		return
+	}
+	demand := stock.Demand{Wants: wants, Uses: s.usesOf(e)}
+	if len(demand.Wants) == 0 && len(e.asked.Wants) == 0 && slices.Equal(demand.Uses, e.asked.Uses) {
+		return
+	}
+	e.asked = demand
+	s.emit(Ask{Instance: e.Instance, Demand: demand})
 }
 
 func (s *State) wantsOf(e *endpoint) []stock.Want {
