relayd: leave silent endpoints where a request may run again

Cause: streams on endpoints that fall silent were held until their callers left. An attempt of an idempotent request that has not begun after two objectives is given up if another endpoint can serve, and a stream that is silent for four of the longest pauses goes on elsewhere. Requests that must not run twice use no connection that was idle for 300 ms: replicas drop idle ones without notice.

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -14,6 +14,12 @@
 	Instance string
 	Address  netip.AddrPort
 	Deadline time.Time
+	// FirstBy is when the attempt is given up if no part of the answer has come, and
+	// MaxGap the longest silence within a stream; zero for no bound.
+	FirstBy time.Time
+	MaxGap  time.Duration
+	// Once says that the request must not run twice.
+	Once bool
 	// LastEvent is where a stream goes on.
 	LastEvent int64
 	// Version is that of the weights which must go on with the stream; 0 for any.
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -182,12 +182,32 @@
 		s.budget.repeat(s.now, r.Service)
 	}
 	s.prompts.sent(r, e.Instance)
+	firstBy, maxGap := s.patience(r, basis)
 	s.emit(Send{
+		FirstBy: firstBy, MaxGap: maxGap, Once: !r.Route.Idempotent(),
 		ID: r.id, Try: r.tries, Instance: e.Instance, Address: e.Address, Deadline: r.Deadline,
 		LastEvent: r.LastEvent, Version: r.version, Urgency: r.Route.Priority, Basis: basis,
 	})
 }
 
+// patience returns when an attempt is given up that has not begun to answer, and
+// the longest silence within its answer. Only what may run again and has somewhere
+// else to go is given up.
+func (s *State) patience(r *request, basis Basis) (time.Time, time.Duration) {
+	if !r.Route.Idempotent() || r.ran+1 >= r.Route.MaxAttempts || !s.budget.allows(s.now, r.Service) {
+		return time.Time{}, 0
+	}
+	var firstBy time.Time
+	if basis.Candidates > 1 {
+		firstBy = s.now.Add(max(firstObjectives*r.Route.Objective, firstLeast))
+	}
+	var gap time.Duration
+	if r.Route.Kind == route.Stream {
+		gap = max(silentGaps*r.Route.MaxGap, silentLeast)
+	}
+	return firstBy, gap
+}
+
 func (s *State) begun(ev Begun) {
 	r := s.requests[ev.ID]
 	if r == nil || r.at == nil || r.began {
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -20,6 +20,15 @@
 	// retryPause is the pause before a request goes to endpoints again that have
 	// all turned it away: about as long as a full engine takes to free a slot.
 	retryPause = 100 * time.Millisecond
+	// firstObjectives is after how many objectives an attempt that has not begun to
+	// answer is given up, and firstLeast the least time until then: callers leave
+	// after about four objectives.
+	firstObjectives = 2
+	firstLeast      = 800 * time.Millisecond
+	// silentGaps is how many of the longest pauses a stream may be silent, and
+	// silentLeast the least time: callers leave after about eight pauses.
+	silentGaps  = 4
+	silentLeast = time.Second
 	// startMargin is the least time that is left to run a request when it is sent.
 	startMargin = 50 * time.Millisecond
 )
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -39,6 +39,9 @@
 	readBuffer = 8 << 10
 )
 
+// AnyIdle lets Get return connections however long they have been idle.
+const AnyIdle = time.Hour
+
 // keepAlive finds connections whose other end or path is gone.
 var keepAlive = net.KeepAliveConfig{
 	Enable:   true,
@@ -64,8 +67,9 @@
 	r    *bufio.Reader
 	addr netip.AddrPort
 	// kept says that an earlier request used the connection.
-	kept  bool
-	until time.Time
+	kept bool
+	// usedAt is when the last answer ended, until when the connection is given up.
+	usedAt, until time.Time
 }
 
 // Kept says whether an earlier request used the connection.
@@ -83,9 +87,11 @@
 
 // Get returns a kept connection that is still good, or a new one. Errors wrap
 // ErrUnreachable.
-func (p *Pool) Get(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+//
+// A kept connection that has been idle for longer than maxIdle is not used.
+func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*Conn, error) {
 	for {
-		c := p.take(addr)
+		c := p.take(addr, time.Now().Add(-maxIdle))
 		if c == nil {
 			return dial(ctx, addr)
 		}
@@ -97,11 +103,12 @@
 	}
 }
 
-func (p *Pool) take(addr netip.AddrPort) *Conn {
+// take returns the connection that was used last, if that was not before since.
+func (p *Pool) take(addr netip.AddrPort, since time.Time) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	if len(list) == 0 || list[len(list)-1].usedAt.Before(since) {
 		return nil
 	}
 	c := list[len(list)-1]
@@ -190,7 +197,8 @@
 		_ = c.Close()
 		return
 	}
-	c.until = time.Now().Add(keep.most)
+	c.usedAt = time.Now()
+	c.until = c.usedAt.Add(keep.most)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.addr]) >= maxIdle {
--- a/io/conns/pool_test.go
+++ b/io/conns/pool_test.go
@@ -26,7 +26,7 @@
 func pair(t *testing.T, p *Pool) (*Conn, net.Conn) {
 	t.Helper()
 	l, addr := listen(t)
-	c, err := p.Get(t.Context(), addr)
+	c, err := p.Get(t.Context(), addr, AnyIdle)
 	require.NoError(t, err)
 	other, err := l.Accept()
 	require.NoError(t, err)
@@ -74,7 +74,7 @@
 	require.Len(t, p.idle[c.addr], 1)
 	require.NoError(t, other.Close())
 	assert.Eventually(t, func() bool { return Peek(c.Conn) == Ended }, 5*time.Second, time.Millisecond)
-	again, err := p.Get(t.Context(), c.addr)
+	again, err := p.Get(t.Context(), c.addr, AnyIdle)
 	if err == nil {
 		assert.NotSame(t, c, again)
 	}
@@ -83,6 +83,23 @@
 func TestUnreachable(t *testing.T) {
 	l, addr := listen(t)
 	require.NoError(t, l.Close())
-	_, err := NewPool().Get(t.Context(), addr)
+	_, err := NewPool().Get(t.Context(), addr, AnyIdle)
 	assert.ErrorIs(t, err, ErrUnreachable)
 }
+
+// A connection that was dropped without notice looks open until it is used.
+func TestIdleConnectionIsNotUsedForOnce(t *testing.T) {
+	p := NewPool()
+	l, addr := listen(t)
+	c, err := p.Get(t.Context(), addr, AnyIdle)
+	require.NoError(t, err)
+	p.Put(c, Keep{time.Minute})
+	c.usedAt = time.Now().Add(-time.Second)
+	fresh, err := p.Get(t.Context(), addr, 500*time.Millisecond)
+	require.NoError(t, err)
+	assert.NotSame(t, c, fresh)
+	again, err := p.Get(t.Context(), addr, 2*time.Second)
+	require.NoError(t, err)
+	assert.Same(t, c, again)
+	require.NoError(t, l.Close())
+}
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -27,6 +27,10 @@
 	// foreignBody each one's length in bytes.
 	foreignMost = 3
 	foreignBody = 1 << 20
+	// onceIdle is how long a kept connection may have been idle that is used for a
+	// request which must not run twice: one that was dropped without notice resets
+	// the request, and nobody knows then whether it has run.
+	onceIdle = 300 * time.Millisecond
 	// writeTime is the longest time that a caller may take to read a part of the
 	// answer.
 	writeTime = 10 * time.Second
@@ -174,7 +178,11 @@
 // exchangeWith makes one attempt and sets how it ended.
 func (x *exchange) exchangeWith(ctx context.Context, send relay.Send, ended *relay.Ended) error {
 	ended.Result = relay.Unsent
-	c, err := x.d.pool.Get(ctx, send.Address)
+	idle := conns.AnyIdle
+	if send.Once {
+		idle = onceIdle
+	}
+	c, err := x.d.pool.Get(ctx, send.Address, idle)
 	if err != nil {
 		return err
 	}
@@ -198,6 +206,9 @@
 		return conns.Keep{}, fmt.Errorf("send request: %w", err)
 	}
 	ended.Result = relay.Broken
+	if err := c.SetReadDeadline(send.FirstBy); err != nil {
+		return conns.Keep{}, fmt.Errorf("bound answer: %w", err)
+	}
 	resp, verdict, err := x.readHead(c) //nolint:bodyclose // The connection is kept or reset as a whole.
 	if err != nil {
 		return conns.Keep{}, err
@@ -207,7 +218,7 @@
 		ended.Result = verdict.Result
 		return keep, conns.Skip(resp, foreignBody)
 	}
-	if err := x.passOn(resp, verdict, ended); err != nil {
+	if err := x.passOn(c, send, resp, verdict, ended); err != nil {
 		return conns.Keep{}, err
 	}
 	return keep, nil
@@ -253,10 +264,10 @@
 
 // passOn passes on an answer and sets how the attempt ended. An error says that
 // the connection can't be used any more.
-func (x *exchange) passOn(resp *http.Response, verdict Verdict, ended *relay.Ended) error {
+func (x *exchange) passOn(c *conns.Conn, send relay.Send, resp *http.Response, verdict Verdict, ended *relay.Ended) error {
 	x.version = verdict.Version
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
-		if err := x.passStream(resp); err != nil {
+		if err := x.passStream(c, send, resp); err != nil {
 			return err
 		}
 		ended.Result = relay.Done
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -12,6 +12,7 @@
 
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
+	"chervilreach/io/conns"
 )
 
 // eventBuffer is the longest event of a stream, in bytes.
@@ -22,7 +23,7 @@
 
 // passStream passes on the events of a stream as they come. Only whole events
 // are passed on, so that the stream can go on at another endpoint.
-func (x *exchange) passStream(resp *http.Response) error {
+func (x *exchange) passStream(c *conns.Conn, send relay.Send, resp *http.Response) error {
 	in := bufio.NewReaderSize(resp.Body, eventBuffer)
 	rc := http.NewResponseController(x.w)
 	if !x.headed {
@@ -47,6 +48,9 @@
 			x.d.meters.first.UpdateSince(x.arrivedAt)
 			x.d.loop.Post(relay.Begun{ID: x.id})
 		}
+		if err := boundSilence(c, send.MaxGap); err != nil {
+			return err
+		}
 		if !x.next(ev) {
 			continue
 		}
@@ -56,6 +60,18 @@
 	}
 }
 
+// boundSilence bounds the time until the next event; 0 is no bound.
+func boundSilence(c *conns.Conn, most time.Duration) error {
+	var until time.Time
+	if most > 0 {
+		until = time.Now().Add(most)
+	}
+	if err := c.SetReadDeadline(until); err != nil {
+		return fmt.Errorf("bound silence: %w", err)
+	}
+	return nil
+}
+
 // next says whether an event is the next to be passed on, and counts it.
 func (x *exchange) next(ev []byte) bool {
 	id, ok := eventID(ev)
--- /dev/null
+++ b/io/wire/stock_test.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
+
+	"chervilreach/core/stock"
+)
+
+func TestStockComesBack(t *testing.T) {
+	now := time.UnixMilli(5_000_000)
+	r := stock.Report{
+		Instance: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: true, Running: 3, Waiting: 2,
+		KVUsed: 100, KVTotal: 200, Routers: 5,
+		Models: []stock.Held{{Model: "m", Version: 2, Adapters: []string{"a1"}}},
+		Loads:  []stock.Load{{Item: stock.Item{Model: "n", Adapter: "a2"}, ReadyAt: now.Add(1500 * time.Millisecond)}},
+		Copies: stock.Copies{Memory: []string{"m"}, Disk: []string{"m", "n"}},
+	}
+	assert.Equal(t, r, DecodeStock(now, EncodeStock(now, r, stock.Report{}), stock.Report{}))
+
+	same := EncodeStock(now, r, r)
+	assert.Nil(t, same.GetCopied(), "copies are sent when they have changed")
+	assert.Equal(t, r, DecodeStock(now, same, r))
+
+	later := now.Add(time.Hour)
+	got := DecodeStock(later, EncodeStock(now, r, r), r)
+	assert.Equal(t, later.Add(1500*time.Millisecond), got.Loads[0].ReadyAt, "times are on the receiver's clock")
+}
+
+func TestDemandComesBack(t *testing.T) {
+	now := time.UnixMilli(5_000_000)
+	d := stock.Demand{
+		Wants: []stock.Want{{
+			Item: stock.Item{Model: "m", Adapter: "a"}, Priority: 2, Deadline: now.Add(time.Second), Waiting: 4, Rate: 1.5,
+		}},
+		Uses: []stock.Use{{Model: "m", Running: 3, Rate: 0.25, Holders: 2}},
+	}
+	assert.Equal(t, d, DecodeDemand(now, EncodeDemand(now, d)))
+}
+
+// A report that tells of load only, as most do, stays small: a router gets one a
+// second from each agent that it follows, of 3 KB/s for all control.
+func TestReportIsSmall(t *testing.T) {
+	r := stock.Report{
+		Instance: "i-0123456789", Address: netip.MustParseAddrPort("10.100.200.30:8080"), Running: 40, KVUsed: 100_000,
+		KVTotal: 131_932, Routers: 330,
+		Models: []stock.Held{
+			{Model: "model000001", Version: 1, Adapters: []string{"a1", "a2"}}, {Model: "model000002", Version: 1}, {Model: "model000003", Version: 1},
+		},
+		Copies: stock.Copies{Disk: make([]string, 20)},
+	}
+	assert.LessOrEqual(t, proto.Size(EncodeStock(time.Now(), r, r)), 150)
+}
