relay: load the model of a silent endpoint elsewhere; a line for each send

Each send is logged when it is made: requests that were in progress when a process died left no line.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -13,7 +13,7 @@
 	if ev.Version != 0 {
 		r.version = ev.Version
 	}
-	r.failed = ev.Result == Failed
+	r.failed, r.shed = ev.Result == Failed, ev.Result == Shed
 	switch ev.Result {
 	case Done, Abandoned:
 		e.attempted(false, s.now)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -152,6 +152,33 @@
 	assert.Equal(t, int64(3), next.Version)
 }
 
+// The only endpoint that holds a model falls silent: the stream goes on where the
+// model is loaded next, not at the silent endpoint again.
+func TestModelOfSilentEndpointIsLoadedElsewhere(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm))
+	w.report("e1", holding("a"))
+	w.report("e2", holding("b"))
+	id := w.arrive(streamRoute(), modelA)
+	require.Equal(t, "e1", only[Send](w).Instance)
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 4, Answering: true})
+	assert.Empty(t, effectsOf[Send](w))
+	asked := only[Ask](w)
+	assert.Equal(t, "e2", asked.Instance)
+	require.Len(t, asked.Demand.Wants, 1)
+	w.report("e2", holding("a", "b"))
+	assert.Equal(t, "e2", only[Send](w).Instance)
+}
+
+func TestOnlyEndpointIsTriedAgainAfterAPause(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("a"))
+	id := w.arrive(streamRoute(), modelA)
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 4, Answering: true})
+	assert.Empty(t, effectsOf[Send](w))
+	w.pass(retryPause)
+	assert.Equal(t, "e1", only[Send](w).Instance)
+}
+
 func TestBrokenAnswerIsNeverRefused(t *testing.T) {
 	w := newWorld(t, member("e1", llm))
 	w.report("e1", holding("a"))
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -67,6 +67,8 @@
 	answering bool
 	// waitsFor is the endpoint whose load it waits for, or waitsForRoom.
 	waitsFor string
+	// shed says that the last endpoint was full: it has the model and serves it soon.
+	shed bool
 	// failed says that the endpoint's own failure is at hand.
 	failed    bool
 	arrivedAt time.Time
@@ -147,7 +149,9 @@
 			s.send(r, e, basis)
 			return
 		}
-		s.forgive(r)
+		if r.Item.Model == "" || r.shed {
+			s.forgive(r)
+		}
 	}
 	s.wait(r)
 }
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -85,6 +85,7 @@
 	if e == nil {
 		s.retarget(w, "")
 		w.tried = nil
+		s.forgive(r)
 		return s.now.Add(retryNoEndpoint), ""
 	}
 	s.retarget(w, e.Instance)
@@ -108,7 +109,7 @@
 	var best *endpoint
 	var bestAt, least time.Time
 	for _, e := range s.index.services[key.service] {
-		if e.Leaving || !e.hasAgent || slices.Contains(tried, e.Instance) {
+		if e.Leaving || e.Stock.Holds(key.item) || !e.hasAgent || slices.Contains(tried, e.Instance) {
 			continue
 		}
 		readyAt, cost := s.loadAt(e, key.item, engine)
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -148,6 +148,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	began := time.Now()
+	x.logSend(send)
 	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
 	defer cancel()
 	ended := relay.Ended{ID: x.id}
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -16,17 +16,24 @@
 		Str("outcome", outcome).Str("why", why).Msg("request")
 }
 
-// logAttempt writes how an attempt ended and what its endpoint was chosen by.
-func (x *exchange) logAttempt(send relay.Send, ended relay.Ended, began time.Time, err error) {
-	x.d.meters.attempt(ended.Result)
+// logSend writes which endpoint was chosen and by what.
+func (x *exchange) logSend(send relay.Send) {
 	e := x.d.log.Info().Str("request", x.request.Attempt).Str("route", x.route.Name).Int("try", send.Try).
-		Str("endpoint", send.Instance).Str("model", x.request.Item.Model).
+		Str("endpoint", send.Instance).Str("model", x.request.Item.Model).Str("adapter", x.request.Item.Adapter).
 		Int("candidates", send.Basis.Candidates).Int64("expected-ms", send.Basis.Cost.Milliseconds()).
-		Int("load", send.Basis.Load).Int64("routes", send.Basis.Routes)
+		Int("load", send.Basis.Load).Int64("routes", send.Basis.Routes).
+		Int64("left-ms", time.Until(send.Deadline).Milliseconds())
 	if !send.Basis.ReportedAt.IsZero() {
-		e = e.Int64("report-age-ms", began.Sub(send.Basis.ReportedAt).Milliseconds())
+		e = e.Int64("report-age-ms", time.Since(send.Basis.ReportedAt).Milliseconds())
 	}
-	e.Int64("took-ms", time.Since(began).Milliseconds()).
+	e.Msg("send")
+}
+
+// logAttempt writes how an attempt ended.
+func (x *exchange) logAttempt(send relay.Send, ended relay.Ended, began time.Time, err error) {
+	x.d.meters.attempt(ended.Result)
+	x.d.log.Info().Str("request", x.request.Attempt).Int("try", send.Try).Str("endpoint", send.Instance).
+		Int64("took-ms", time.Since(began).Milliseconds()).
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
 		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err).Msg("attempt")
 }
