--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -157,6 +157,16 @@
 // Routine implements event.Routine.
 func (Reported) Routine() {}
 
+// Renamed tells that the agent beside a listed endpoint reports another instance
+// in its place: the endpoint has started again, and the list does not say so yet.
+type Renamed struct {
+	From   string
+	Report stock.Report
+}
+
+// Kind implements event.Event.
+func (Renamed) Kind() string { return "relay-renamed" }
+
 // AgentLost tells that the connection to the agent beside an endpoint ended.
 type AgentLost struct {
 	Instance string
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -198,6 +198,23 @@
 	assert.Equal(t, "e2", only[Send](w).Instance)
 }
 
+// The store is away when an endpoint starts again: only its agent tells.
+func TestEndpointThatStartedAgainIsKnownByItsAgent(t *testing.T) {
+	w := newWorld(t, member("old", llm))
+	w.report("old", holding("a"))
+	id := w.arrive(streamRoute(), modelA)
+	require.Equal(t, "old", only[Send](w).Instance)
+	w.apply(Renamed{From: "old", Report: stock.Report{Instance: "new", KVTotal: 130_000, Routers: 1, Copies: stock.Copies{Disk: []string{"a"}}}})
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 4, Answering: true})
+	asked := only[Ask](w)
+	assert.Equal(t, "new", asked.Instance)
+	w.report("new", holding("a"))
+	assert.Equal(t, "new", only[Send](w).Instance)
+	w.setMembers(member("new", llm))
+	w.arrive(streamRoute(), modelA)
+	assert.Empty(t, effectsOf[Refuse](w))
+}
+
 func TestOnlyEndpointIsTriedAgainAfterAPause(t *testing.T) {
 	w := newWorld(t, member("e1", llm))
 	w.report("e1", holding("a"))
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -106,6 +106,8 @@
 		s.members(ev)
 	case Reported:
 		s.reported(ev)
+	case Renamed:
+		s.renamed(ev)
 	case AgentLost:
 		s.agentLost(ev)
 	case Adopted:
@@ -318,6 +320,23 @@
 	s.serveWaitingFor(e)
 }
 
+// renamed puts a new instance in the place of one that it replaces.
+func (s *State) renamed(ev Renamed) {
+	e := s.endpoint(ev.From)
+	if e == nil || s.endpoint(ev.Report.Instance) != nil {
+		return
+	}
+	s.index.drop(e)
+	e.Leaving = true
+	s.forgetWants(e.Instance)
+	m := e.Member
+	m.Instance, m.Leaving, m.Born, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, stock.Report{}
+	next := newEndpoint(m, s.now)
+	s.endpoints = insert(remove(s.endpoints, e), next)
+	s.index.add(next)
+	s.reported(Reported{Report: ev.Report})
+}
+
 func (s *State) agentLost(ev AgentLost) {
 	if e := s.endpoint(ev.Instance); e != nil {
 		e.hasAgent = false
--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,9 @@
 	// asksQueued bounds the demands that wait for a slow connection; each replaces
 	// the one before.
 	asksQueued = 1
+	// renameTime is how long an agent has to report another instance than the list
+	// names until it is believed: its first reports may be older than the list.
+	renameTime = 700 * time.Millisecond
 	// lagTime is how long a router waits for its own watch to bring routes that
 	// others have already.
 	lagTime = 500 * time.Millisecond
@@ -31,6 +35,8 @@
 	reportTime = 4 * time.Second
 )
 
+var errReplaced = errors.New("another instance has taken the endpoint's place")
+
 // agents are the connections to the agents beside the endpoints on the list.
 type agents struct {
 	d    *Daemon
@@ -173,6 +179,7 @@
 func (a *agents) receive(conn *wire.Conn, s *wire.Stream, one *agent) error {
 	var last stock.Report
 	connected := false
+	var mismatchAt time.Time
 	for {
 		if err := s.SetReadDeadline(time.Now().Add(reportTime)); err != nil {
 			return err
@@ -187,8 +194,20 @@
 		}
 		last = wire.DecodeStock(time.Now(), body, last)
 		if last.Instance != one.instance {
-			continue
+			if mismatchAt.IsZero() {
+				mismatchAt = time.Now()
+			}
+			if time.Since(mismatchAt) < renameTime {
+				continue
+			}
+			if !a.rename(one, last.Instance) {
+				return errReplaced
+			}
+			a.d.loop.Post(relay.Renamed{From: one.instance, Report: last})
+			a.d.log.Info().Str("endpoint", last.Instance).Str("in-place-of", one.instance).Msg("endpoint started again")
+			one.instance = last.Instance
 		}
+		mismatchAt = time.Time{}
 		if !connected {
 			connected = true
 			a.d.log.Info().Str("endpoint", one.instance).Msg("agent connected")
@@ -200,6 +219,19 @@
 	}
 }
 
+// rename keeps the connection under the name of the instance that has taken the
+// endpoint's place; it returns false if that one has a connection of its own.
+func (a *agents) rename(one *agent, instance string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.open[instance] != nil || a.open[one.instance] != one {
+		return false
+	}
+	delete(a.open, one.instance)
+	a.open[instance] = one
+	return true
+}
+
 // catchUp waits for a version of the routes that an agent has, then reads the
 // store again and asks the agent, whichever is faster.
 func (a *agents) catchUp(conn *wire.Conn, version int64) {
