--- a/core/swap/next.go
+++ b/core/swap/next.go
@@ -104,8 +104,7 @@
 		Number: s.number, Operation: op, Item: item, Instance: s.seen.Report.Instance,
 		Sequence: s.seen.Sequence, Token: s.token,
 	}
-	s.order = &order{Order: o, sentAt: s.now, doneAt: s.now.Add(takes)}
-	s.note("order-"+string(op), o, "")
+	s.order = &order{Order: o, doneAt: s.now.Add(takes)}
 	s.emit(o)
 }
 
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -60,9 +60,7 @@
 // order is the one in progress.
 type order struct {
 	Order
-	sentAt   time.Time
 	answered bool
-	accepted bool
 	// doneAt is when it is expected to be done.
 	doneAt time.Time
 }
@@ -109,14 +107,6 @@
 
 func (s *State) emit(eff event.Effect) { s.effects = append(s.effects, eff) }
 
-func (s *State) note(change string, o Order, detail string) {
-	model := o.Item.Model
-	if o.Item.Adapter != "" {
-		model += "/" + o.Item.Adapter
-	}
-	s.emit(event.Note{Change: change, Model: model, Endpoint: o.Instance, Detail: detail})
-}
-
 func (s *State) observed(ev Observed) {
 	s.polling = false
 	if ev.AskedAt.Before(s.seenAt) {
@@ -153,13 +143,7 @@
 		return
 	}
 	o.answered = true
-	s.note("order-answered", o.Order, string(ev.Answer))
-	switch ev.Answer {
-	case Accepted:
-		o.accepted = true
-	case Holds:
-		o.accepted = true
-	default:
+	if ev.Answer != Accepted && ev.Answer != Holds {
 		s.order = nil
 	}
 	// What the endpoint said before it took the order is out of date.
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -210,7 +210,7 @@
 }
 
 // An unload waits for the requests of its model, and holds up all other orders:
-// on kht-gecis trouble-1 with seed 6 one took 6.5 s, with 24 requests behind it.
+// one took 6.5 s on a played day, with 24 requests behind it.
 func TestLoadWaitsForAModelWithoutRequests(t *testing.T) {
 	w := newWorld(t, "m0", "m1", "m2")
 	uses := lo.Map(w.holds(), func(m string, _ int) stock.Use { return stock.Use{Model: m, Running: 1} })
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -128,19 +128,14 @@
 	if err := c.SetDeadline(time.Now().Add(callTime + time.Second)); err != nil {
 		return err
 	}
-	text := "POST " + o.path + "x HTTP/1.1\r\nHost: " + mock.Host + "\r\nX-Chervilreach-Attempt-Id: " + o.attempt +
-		fmt.Sprintf("\r\nX-Chervilreach-Deadline-Ms: %d\r\n", callTime.Milliseconds())
-	if model != "" {
-		text += "X-Chervilreach-Model: " + model + "\r\nX-Chervilreach-Token-Count: 200,60\r\n"
-	}
-	if _, err := io.WriteString(c, text+"Content-Length: 2\r\n\r\nhi"); err != nil {
+	if _, err := io.WriteString(c, mock.Call(o.path, o.attempt, model, callTime)); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return err
 	}
-	o.status, o.seal, c.ended = resp.StatusCode, resp.Header.Get("X-Chervilreach-Response-Seal"), resp.Close
+	o.status, o.seal, c.ended = resp.StatusCode, mock.Seal(resp), resp.Close
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	o.body, o.whole = string(body), err == nil
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -118,7 +118,7 @@
 }
 
 func isReady(ctx context.Context, p *process) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at(p.ip, portReady).String()+"/-/readiness", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at(p.ip, portReady).String()+mock.ReadyPath, nil)
 	if err != nil {
 		return false
 	}
