wire, swap, relay: control traffic that stays flat as machines are added

The stream for reports made every connection count as busy, so that it was pinged ten times a second, and each agent reported to each router as often however many there were.

--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -21,6 +21,9 @@
 	overdueTime = 700 * time.Millisecond
 	// refreshTime is how often agents are told the traffic again.
 	refreshTime = time.Second
+	// refreshEach is added to that for each endpoint, so that a router sends about as
+	// much however many there are.
+	refreshEach = 20 * time.Millisecond
 	// evictCost is added to the time of a load for each request a second that the
 	// model which makes room is asked for, at this router.
 	evictCost = 4 * time.Second
@@ -251,7 +254,7 @@
 // askAgents tells the agents what has changed in what is asked of them.
 func (s *State) askAgents() {
 	if !s.now.Before(s.refreshAt) {
-		s.refreshAt = s.now.Add(refreshTime)
+		s.refreshAt = s.now.Add(max(refreshTime, time.Duration(len(s.endpoints))*refreshEach))
 		for _, e := range s.endpoints {
 			s.askAgent(e, true)
 		}
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -21,10 +21,14 @@
 	answerTime = time.Second
 	// publishLoad is the least time between reports that tell only of load.
 	publishLoad = 150 * time.Millisecond
+	// publishEach is added to the time between reports for each router, so that an
+	// agent sends about as much however many there are.
+	publishEach = 30 * time.Millisecond
 	// publishIdle is the longest time between reports.
 	publishIdle = time.Second
-	// demandTime is how long a router's demand counts without being renewed.
-	demandTime = 5 * time.Second
+	// demandTime is how long a router's demand counts without being renewed. A
+	// router that is gone is told of by its connection.
+	demandTime = 2 * time.Minute
 )
 
 // State is an agent's reducer.
@@ -213,7 +217,8 @@
 	news := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
 		!slices.EqualFunc(r.Models, old.Models, sameHeld) || !slices.EqualFunc(r.Loads, old.Loads, sameLoad)
 	moved := r.Running != old.Running || r.Waiting != old.Waiting
-	if !news && (!moved || sinceLast < publishLoad) && sinceLast < publishIdle {
+	pace := time.Duration(len(s.routers)) * publishEach
+	if !news && (!moved || sinceLast < max(publishLoad, pace)) && sinceLast < max(publishIdle, pace) {
 		return
 	}
 	s.published, s.publishAt = r, s.now
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -114,6 +114,8 @@
 	answer   func(o Order, a Answer) Answer
 	reported stock.Report
 	polls    []time.Time
+	// published counts reports; running is how many requests the engine runs.
+	published, running int
 }
 
 func newWorld(t *testing.T, held ...string) *world {
@@ -137,6 +139,7 @@
 			w.polls = append(w.polls, w.now)
 		case Publish:
 			w.reported = eff.Report
+			w.published++
 		case Order:
 			w.orders = append(w.orders, eff)
 			a := w.e.order(w.now, eff)
@@ -154,7 +157,9 @@
 		w.e.advance(w.now)
 		w.apply(event.Tick{})
 		for _, at := range w.polls {
-			w.apply(Observed{AskedAt: at, Engine: w.e.observe()})
+			seen := w.e.observe()
+			seen.Report.Running = w.running
+			w.apply(Observed{AskedAt: at, Engine: seen})
 		}
 		w.polls = nil
 	}
@@ -317,6 +322,29 @@
 	assert.Equal(t, []string{"a2", "a3"}, w.e.held[0].Adapters, "the one asked for longest ago makes room")
 }
 
+// The reports of an agent to all routers together stay about as many, however many
+// routers there are.
+func TestReportsStayAsManyWithMoreRouters(t *testing.T) {
+	sent := make(map[int]int)
+	for _, routers := range []int{5, 50, 330} {
+		w := newWorld(t, "m0")
+		for id := range routers {
+			w.apply(Joined{Router: uint64(id + 1)})
+		}
+		w.run(time.Second)
+		w.published = 0
+		for n := range 600 {
+			w.running = n
+			w.run(50 * time.Millisecond)
+		}
+		sent[routers] = w.published * routers
+	}
+	const seconds = 30
+	for routers, n := range sent {
+		assert.LessOrEqual(t, n, 40*seconds, "%d routers", routers)
+	}
+}
+
 func TestRouterThatLeftWantsNothing(t *testing.T) {
 	w := newWorld(t, "m0", "m1", "m2")
 	w.e.busy, w.e.doneAt = &Order{Operation: Load, Item: stock.Item{Model: "m0"}}, w.now.Add(time.Hour)
--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -30,9 +30,10 @@
 	lagTime = 500 * time.Millisecond
 	// fetchTime bounds the reading of routes from an agent.
 	fetchTime = time.Second
-	// reportTime is the longest silence of an agent that still counts as connected;
-	// agents report every second.
-	reportTime = 4 * time.Second
+	// reportTime is the longest silence of an agent that still counts as connected:
+	// agents of many routers report every few seconds. Pings find a connection that
+	// is gone much sooner.
+	reportTime = 30 * time.Second
 )
 
 var errReplaced = errors.New("another instance has taken the endpoint's place")
@@ -150,6 +151,7 @@
 	if err != nil {
 		return err
 	}
+	s.Background()
 	if err := s.Send(demandFrame(stock.Demand{})); err != nil {
 		return err
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -238,7 +238,17 @@
 	raw    *yamux.Stream
 	r      *bufio.Reader
 	closed atomic.Bool
-	done   chan struct{}
+	// background streams do not make their connection busy.
+	background atomic.Bool
+	done       chan struct{}
+}
+
+// Background says that nobody waits for the stream, so that its connection is
+// pinged as seldom as an idle one.
+func (s *Stream) Background() {
+	if !s.background.Swap(true) {
+		s.conn.streams.Add(-1)
+	}
 }
 
 // Send writes one frame, stamped with this process's time and revision.
@@ -329,7 +339,9 @@
 		return nil
 	}
 	close(s.done)
-	s.conn.streams.Add(-1)
+	if !s.background.Swap(true) {
+		s.conn.streams.Add(-1)
+	}
 	if err := s.raw.Close(); err != nil {
 		return fmt.Errorf("close stream: %w", err)
 	}
