--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -212,6 +212,7 @@
 	r := s.seen.Report
 	r.Routers = len(s.routers)
 	r.Loads = s.loads()
+	r.Models = s.staying()
 	old := &s.published
 	sinceLast := s.now.Sub(s.publishAt)
 	news := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
@@ -225,6 +226,27 @@
 	s.emit(Publish{Report: r})
 }
 
+// staying lists what the endpoint holds but for what is being unloaded: requests
+// for that are turned away.
+func (s *State) staying() []stock.Held {
+	o := s.order
+	if o == nil || o.Operation != Unload {
+		return s.seen.Report.Models
+	}
+	list := make([]stock.Held, 0, len(s.seen.Report.Models))
+	for _, h := range s.seen.Report.Models {
+		if h.Model != o.Item.Model {
+			list = append(list, h)
+			continue
+		}
+		if o.Item.Adapter != "" {
+			h.Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool { return a == o.Item.Adapter })
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 func sameHeld(a, b stock.Held) bool {
 	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -230,6 +230,17 @@
 	assert.Equal(t, []string{"m0", "m2", "m3"}, w.holds())
 }
 
+// While a model is unloaded its endpoint turns requests for it away.
+func TestModelThatIsUnloadedIsNotReported(t *testing.T) {
+	w := newWorld(t, "m0", "m1", "m2")
+	uses := []stock.Use{{Model: "m0", Rate: 1}, {Model: "m1", Rate: 5}, {Model: "m2", Rate: 5}}
+	w.demand(1, stock.Demand{Uses: uses, Wants: []stock.Want{w.want("m3")}})
+	require.Len(t, w.orders, 1)
+	require.Equal(t, Unload, w.orders[0].Operation)
+	assert.False(t, w.reported.Holds(stock.Item{Model: "m0"}))
+	assert.True(t, w.reported.Holds(stock.Item{Model: "m1"}))
+}
+
 func TestBusyModelMakesRoomInTheEnd(t *testing.T) {
 	w := newWorld(t, "m0", "m1", "m2")
 	uses := lo.Map(w.holds(), func(m string, i int) stock.Use { return stock.Use{Model: m, Running: 3 - i} })
