--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -74,7 +74,7 @@
 		r.avoid = append(r.avoid, e.Instance)
 	}
 	if !s.budget.allows(s.now, r.Service) {
-		s.count("relay-budget-spent")
+		s.count("budget-spent")
 		s.refuse(r, NoBudget, s.now.Add(retryBudget))
 		return
 	}
@@ -89,7 +89,7 @@
 	case r.ran >= max(r.Route.MaxAttempts, 1):
 		s.fail(r, AllFailed)
 	case !s.budget.allows(s.now, r.Service):
-		s.count("relay-budget-spent")
+		s.count("budget-spent")
 		s.fail(r, NoBudget)
 	default:
 		r.avoid = append(r.avoid, e.Instance)
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -54,6 +54,12 @@
 	return &endpoint{Member: m, listedAt: now, models: make(map[string]int), speed: firstSpeed}
 }
 
+// bornAgain says whether an entry is of a later incarnation under the same name,
+// which knows nothing of before.
+func (e *endpoint) bornAgain(m Member) bool {
+	return m.Born != 0 && e.Born != 0 && m.Born != e.Born
+}
+
 // update takes in the platform's entry. An agent's report is newer than what
 // the entry says of models.
 func (e *endpoint) update(m Member) {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -215,6 +215,31 @@
 	assert.Empty(t, effectsOf[Refuse](w))
 }
 
+// An endpoint that starts again under its name holds nothing of before, and has
+// none of the requests of before.
+func TestEndpointThatIsBornAgainIsNew(t *testing.T) {
+	first := member("e1", llm)
+	first.Born = 1000
+	w := newWorld(t, first)
+	w.report("e1", holding("a"))
+	w.arrive(streamRoute(), modelA)
+	only[Send](w)
+	again := first
+	again.Born = 2000
+	w.setMembers(again)
+	e := w.s.endpoint("e1")
+	assert.Zero(t, e.running)
+	assert.Zero(t, e.unread)
+	assert.Empty(t, w.s.candidates(llm, "a"))
+	w.report("e1", nil)
+	w.arrive(streamRoute(), modelA)
+	assert.Empty(t, effectsOf[Send](w))
+	assert.NotEmpty(t, effectsOf[Ask](w))
+	// The end of the attempt at the incarnation before changes nothing.
+	w.apply(Ended{ID: 1, Result: Abandoned})
+	assert.Zero(t, w.s.endpoint("e1").running)
+}
+
 func TestOnlyEndpointIsTriedAgainAfterAPause(t *testing.T) {
 	w := newWorld(t, member("e1", llm))
 	w.report("e1", holding("a"))
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -124,7 +124,7 @@
 
 func (s *State) emit(eff event.Effect) { s.effects = append(s.effects, eff) }
 
-func (s *State) count(name string) { s.emit(event.Count{Name: name, N: 1}) }
+func (s *State) count(name string) { s.emit(event.Count{Name: "relay." + name, N: 1}) }
 
 func (s *State) arrive(ev Arrive) {
 	r := &request{Request: ev.Request, id: ev.ID, arrivedAt: s.now}
@@ -282,11 +282,12 @@
 	s.endpoints = s.endpoints[:0]
 	for _, m := range ev.List {
 		e := old[m.Instance]
-		if e == nil {
-			e = newEndpoint(m, s.now)
-		} else {
+		if e != nil {
 			s.index.drop(e)
 		}
+		if e == nil || e.bornAgain(m) {
+			e = newEndpoint(m, s.now)
+		}
 		delete(old, m.Instance)
 		e.update(m)
 		s.index.add(e)
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -22,12 +22,14 @@
 
 // Paths of the administration address.
 const (
-	PathHealth   = "/healthz"
-	PathReady    = "/readyz"
-	PathMetrics  = "/metrics"
-	PathStatus   = "/status"
-	PathTimeline = "/timeline"
-	PathRecord   = "/record"
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	// PathMetricsText has the metrics as text whatever is asked for.
+	PathMetricsText = "/metrics.txt"
+	PathStatus      = "/status"
+	PathTimeline    = "/timeline"
+	PathRecord      = "/record"
 )
 
 // Source is the process that is shown. Its methods are called concurrently.
@@ -58,6 +60,9 @@
 	huma.Get(api, PathHealth, h.health)
 	huma.Get(api, PathReady, h.ready)
 	huma.Get(api, PathMetrics, h.metrics)
+	huma.Get(api, PathMetricsText, func(ctx context.Context, _ *struct{}) (*huma.StreamResponse, error) {
+		return h.metrics(ctx, &metricsInput{Accept: typeText})
+	})
 	huma.Get(api, PathStatus, h.status)
 	huma.Get(api, PathTimeline, h.timeline)
 	huma.Get(api, PathRecord, h.record)
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -187,10 +187,12 @@
 	d.last++
 	x.id = d.last
 	d.exchanges[x.id] = x
+	d.meters.inFlight.Update(int64(len(d.exchanges)))
 }
 
 func (d *Daemon) close(x *exchange) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.exchanges, x.id)
+	d.meters.inFlight.Update(int64(len(d.exchanges)))
 }
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -11,12 +11,11 @@
 // Names of metrics. Times are in nanoseconds; a result or an outcome follows the
 // names of counters, one of a fixed few.
 const (
-	metricAttempt   = "relay-attempts-"
-	metricOutcome   = "relay-requests-"
-	metricAnswer    = "relay-answer-time"
-	metricFirst     = "relay-first-event-time"
-	metricInFlight  = "relay-requests-in-progress"
-	metricLinesLeft = "log-lines-left-out"
+	metricAttempt  = "relay.attempts."
+	metricOutcome  = "relay.requests."
+	metricAnswer   = "relay.answer-time"
+	metricFirst    = "relay.first-event-time"
+	metricInFlight = "relay.requests-in-progress"
 )
 
 // meters are the metrics of a router's requests.
