--- a/core/relay/bench_test.go
+++ b/core/relay/bench_test.go
@@ -28,7 +28,7 @@
 		models[name] = route.Model{Name: name, Size: 70_000, FromStore: 9 * time.Second, FromDisk: 2 * time.Second, FromMemory: time.Second}
 	}
 	engine := &route.Engine{Slots: 64, Memory: 230_000, AdapterSlots: 8, KVCapacity: 130_000, LoadsPerSecond: 2, Models: models}
-	s := New(Settings{Zone: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second})
+	s := New(Settings{FailureDomain: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second})
 	s.Apply(now, Adopted{Table: route.New(1, route.Limits{}, nil, []*route.Service{{Name: llm, Engine: engine}})})
 	list := make([]Member, 0, targetEndpoints)
 	for i := range targetEndpoints {
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// crossZone is the cost of an endpoint in another failure domain, in ms: the
+	// crossDomain is the cost of an endpoint in another failure domain, in ms: the
 	// way there and back, and the price of the bytes.
-	crossZone = 6.0
+	crossDomain = 6.0
 	// perRunning is what each running request adds to the time to a first event,
 	// in ms: it shares the steps of the batch.
 	perRunning = 1.5
@@ -93,8 +93,8 @@
 // prompt are to be read.
 func (s *State) cost(e *endpoint, r *request, unread int) float64 {
 	cost := e.failures * perFailure
-	if e.Zone != s.cfg.Zone {
-		cost += crossZone
+	if e.FailureDomain != s.cfg.FailureDomain {
+		cost += crossDomain
 	}
 	if s.now.Before(e.avoidUntil) {
 		cost += avoidCost
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -120,13 +120,12 @@
 
 // Member is an endpoint on the platform's list.
 type Member struct {
-	Instance string
-	Service  string
-	Address  netip.AddrPort
-	// Zone is the failure domain.
-	Zone    string
-	Slots   int
-	Leaving bool
+	Instance      string
+	Service       string
+	Address       netip.AddrPort
+	FailureDomain string
+	Slots         int
+	Leaving       bool
 	// HasModels says that the endpoint has an engine that loads models.
 	HasModels bool
 	// Born tells incarnations with one instance apart; 0 if unknown.
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -14,9 +14,9 @@
 
 var modelA = stock.Item{Model: "a"}
 
-func TestPlainRequestGoesToItsZone(t *testing.T) {
+func TestPlainRequestStaysInItsFailureDomain(t *testing.T) {
 	far := member("far", plain)
-	far.Zone = "there"
+	far.FailureDomain = "there"
 	w := newWorld(t, far, member("near", plain))
 	w.arrive(plainRoute(route.Unsafe), stock.Item{})
 	assert.Equal(t, "near", only[Send](w).Instance)
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -1,20 +1,16 @@
 package relay
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"chervilreach/core/event"
 	"chervilreach/core/route"
-	"chervilreach/core/stock"
 )
 
 // Settings are the figures of a deployment that a router goes by.
 type Settings struct {
-	// Zone is the router's failure domain.
-	Zone string
+	// FailureDomain is the router's own.
+	FailureDomain string
 	// RetryRatio and RetryExtra bound the repeats of all routers within
 	// RetryWindow: the ratio of the requests, and so many more.
 	RetryRatio  float64
@@ -274,78 +270,6 @@
 	s.refuse(r, OutOfTime, s.now)
 }
 
-func (s *State) members(ev Members) {
-	old := make(map[string]*endpoint, len(s.endpoints))
-	for _, e := range s.endpoints {
-		old[e.Instance] = e
-	}
-	s.endpoints = s.endpoints[:0]
-	for _, m := range ev.List {
-		e := old[m.Instance]
-		if e != nil {
-			s.index.drop(e)
-		}
-		if e == nil || e.bornAgain(m) {
-			e = newEndpoint(m, s.now)
-		}
-		delete(old, m.Instance)
-		e.update(m)
-		s.index.add(e)
-		s.endpoints = append(s.endpoints, e)
-	}
-	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
-	for _, id := range slices.Sorted(maps.Keys(old)) {
-		s.index.drop(old[id])
-		old[id].Leaving = true
-		s.forgetWants(id)
-	}
-	s.serveWaiting()
-}
-
-func (s *State) endpoint(instance string) *endpoint {
-	i, ok := slices.BinarySearchFunc(s.endpoints, instance, byInstance)
-	if !ok {
-		return nil
-	}
-	return s.endpoints[i]
-}
-
-func (s *State) reported(ev Reported) {
-	e := s.endpoint(ev.Report.Instance)
-	if e == nil {
-		return
-	}
-	s.restock(e, func() { e.report(ev.Report, s.now) })
-	s.budget.routers = max(ev.Report.Routers, 1)
-	s.checkWants(e)
-	s.serveWaitingFor(e)
-}
-
-// renamed puts a new instance in the place of one that it replaces.
-func (s *State) renamed(ev Renamed) {
-	e := s.endpoint(ev.From)
-	if e == nil || s.endpoint(ev.Report.Instance) != nil {
-		return
-	}
-	s.index.drop(e)
-	e.Leaving = true
-	s.forgetWants(e.Instance)
-	m := e.Member
-	m.Instance, m.Leaving, m.Born, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, stock.Report{}
-	next := newEndpoint(m, s.now)
-	s.endpoints = insert(remove(s.endpoints, e), next)
-	s.index.add(next)
-	s.reported(Reported{Report: ev.Report})
-}
-
-func (s *State) agentLost(ev AgentLost) {
-	if e := s.endpoint(ev.Instance); e != nil {
-		e.hasAgent = false
-		e.asked = stock.Demand{}
-		s.forgetWants(ev.Instance)
-	}
-}
-
 func (s *State) tick() {
 	s.serveWaiting()
 }
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -46,7 +46,7 @@
 func newWorld(t *testing.T, members ...Member) *world {
 	t.Helper()
 	w := &world{t: t, now: time.UnixMilli(1_000_000), table: testTable(), s: New(Settings{
-		Zone: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+		FailureDomain: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 	})}
 	w.apply(Adopted{Table: w.table})
 	w.setMembers(members...)
@@ -87,7 +87,7 @@
 func member(instance, service string) Member {
 	return Member{
 		Instance: instance, Service: service, Address: netip.MustParseAddrPort("10.0.0.1:80"),
-		Zone: "here", Slots: 64, HasModels: service == llm,
+		FailureDomain: "here", Slots: 64, HasModels: service == llm,
 	}
 }
 
