--- a/config/gate.go
+++ b/config/gate.go
@@ -31,10 +31,10 @@
 type GateStore struct {
 	Address netip.AddrPort `json:"address" need:"router,agent"`
 	// Pace is the least time between two reads of changes.
-	Pace time.Duration `json:"pace" default:"300ms"`
+	Pace time.Duration `json:"pace" default:"700ms"`
 	// Wait is how long a read waits for changes. With the pace it stays below the
 	// two seconds within which a change must be in force.
-	Wait time.Duration `json:"wait" default:"1s"`
+	Wait time.Duration `json:"wait" default:"800ms"`
 }
 
 // GateCallers is the section "callers": how a router serves callers.
