--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -49,6 +49,7 @@
 // Run parses the arguments, runs the command that they name and returns the
 // exit code.
 func Run(args []string) int {
+	catchHangups(args)
 	parser, err := newParser()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/cmds/hangup_test.go
@@ -0,0 +1,27 @@
+package cmds
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// SIGHUP must not end a daemon that is still reading its settings: soak seed 239.
+func TestHangupWhileStarting(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	require.NoError(t, os.WriteFile(file, []byte("{"), 0o600))
+	// The command ends as its settings are faulty, and has caught the signal by then.
+	require.Equal(t, ExitUsage, Run([]string{"relay", file}))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	select {
+	case sig := <-hangups:
+		assert.Equal(t, syscall.SIGHUP, sig)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the signal was not caught")
+	}
+}
