--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -9,6 +9,8 @@
 	"reflect"
 
 	"github.com/jessevdk/go-flags"
+
+	"chervilreach/io/hangup"
 )
 
 // Exit codes of all commands.
@@ -49,7 +51,7 @@
 // Run parses the arguments, runs the command that they name and returns the
 // exit code.
 func Run(args []string) int {
-	catchHangups(args)
+	hangup.Catch(args)
 	parser, err := newParser()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmds/route.go
+++ b/cmds/route.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 	"time"
 
 	"chervilreach/config"
+	"chervilreach/io/hangup"
 	"chervilreach/io/node"
 )
 
@@ -54,20 +54,6 @@
 	Reload()
 }
 
-// hangups takes in SIGHUP from the beginning of a daemon's start: by default it
-// would end the process.
-var hangups = make(chan os.Signal, 1)
-
-// daemons are the commands that run until a signal.
-var daemons = []string{"route", "agent", "relay", "swap"}
-
-// catchHangups is called before anything else is done for a command.
-func catchHangups(args []string) {
-	if len(args) > 0 && slices.Contains(daemons, args[0]) {
-		signal.Notify(hangups, syscall.SIGHUP)
-	}
-}
-
 // runUntilSignal runs a process until a signal, then drains it for at most so
 // long. SIGHUP has it read its settings again, if it can.
 func runUntilSignal(most time.Duration, n runner, failed <-chan error) error {
@@ -84,7 +70,7 @@
 			running = false
 		case failure = <-failed:
 			running = false
-		case <-hangups:
+		case <-hangup.Signals:
 			if r, ok := n.(reloader); ok {
 				r.Reload()
 			}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,6 +13,9 @@
 const (
 	// stopTime is the longest time that a program may take to stop by itself.
 	stopTime = 9 * time.Second
+	// bornTime is how old a program is when it may get a signal that it catches: in
+	// the moment of its start the kernel ends it, whatever it is.
+	bornTime = 200 * time.Millisecond
 	// leaveTime is how long a replica that drains goes on serving.
 	leaveTime = 4 * time.Second
 )
@@ -40,8 +43,12 @@
 	{"agent paused", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
 		return paused(ctx, pick(rnd, s.f.agents), rnd)
 	}},
-	{"settings read again", func(_ context.Context, s *soaker, rnd *rand.Rand) error {
-		pick(rnd, s.f.routers).signal(syscall.SIGHUP)
+	{"settings read again", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
+		p := pick(rnd, s.f.routers)
+		p.faulty.Lock()
+		defer p.faulty.Unlock()
+		sleep(ctx, time.Until(p.calmSince().Add(bornTime)))
+		p.signal(syscall.SIGHUP)
 		return nil
 	}},
 	{"link to a replica", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,8 +21,10 @@
 	"router stopped and killed at once": {3, 12 * time.Second},
 	// Two faults replaced the same replica at once; the harness started it twice.
 	"replica replaced twice at once": {103, 12 * time.Second},
-	// A router that got SIGHUP while it started was ended by it.
-	"settings read again at the start": {239, 6 * time.Second},
+	// A router that got SIGHUP while it started was ended by it: its handler came
+	// late, and the harness sent it before the program had run at all.
+	"settings read again at the start":     {239, 6 * time.Second},
+	"settings read again at the start, II": {300, 4 * time.Second},
 	// A stand-in of a replica that crashed right after its start kept its address.
 	"replica crashes at once after its start":     {203, 6 * time.Second},
 	"replica crashes at once after its start, II": {208, 6 * time.Second},
