--- a/soak/faults.go
+++ b/soak/faults.go
@@ -43,11 +43,11 @@
 	{"agent paused", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
 		return paused(ctx, pick(rnd, s.f.agents), rnd)
 	}},
-	{"settings read again", func(ctx context.Context, s *soaker, rnd *rand.Rand) error {
+	{"settings read again", func(_ context.Context, s *soaker, rnd *rand.Rand) error {
 		p := pick(rnd, s.f.routers)
 		p.faulty.Lock()
 		defer p.faulty.Unlock()
-		sleep(ctx, time.Until(p.calmSince().Add(bornTime)))
+		time.Sleep(time.Until(p.calmSince().Add(bornTime)))
 		p.signal(syscall.SIGHUP)
 		return nil
 	}},
