--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -202,6 +202,51 @@
 	require.GreaterOrEqual(t, runSlow(), 27)
 }
 
+// runBurst asks for n loads at once from a store slowed so many times, each load
+// with its own deadline, and counts those that finished in time.
+func runBurst(n int, slow float64, patience time.Duration) (inTime int) {
+	g := newGranter()
+	s := store{slow: slow, left: make(map[fleet.OrderID]float64)}
+	began := make(map[fleet.OrderID]time.Time)
+	asks := make(map[fleet.OrderID]permit.Ask)
+	for i := range n {
+		a := ask(fmt.Sprintf("a%02d", i), 1, epoch.Add(patience))
+		asks[a.ID] = a
+		g.Ask(epoch, a)
+	}
+	const tick = 100 * time.Millisecond
+	for now := epoch; now.Before(epoch.Add(patience)); now = now.Add(tick) {
+		for _, id := range s.step(tick) {
+			inTime++
+			g.Done(now, id, now.Sub(began[id]))
+			delete(asks, id)
+		}
+		for id, a := range asks {
+			if _, ok := s.left[id]; ok {
+				g.Renew(now, a)
+			} else {
+				g.Ask(now, a)
+			}
+		}
+		for _, d := range g.Decide(now) {
+			if d.Verdict == permit.Granted {
+				began[d.ID], s.left[d.ID] = now, expected.Seconds()
+			} else {
+				delete(asks, d.ID)
+			}
+		}
+	}
+	return inTime
+}
+
+// TestBurstAtSlowStore has eight models asked for at once while the store is four
+// times slower: in twice the time that the store needs for all, all finish.
+func TestBurstAtSlowStore(t *testing.T) {
+	const models, slow = 8, 4
+	needed := models * slow * expected / time.Duration(limits.AtOnce)
+	require.Equal(t, models, runBurst(models, slow, 2*needed))
+}
+
 func TestLocal(t *testing.T) {
 	l := permit.NewLocal(limits, 20)
 	require.True(t, l.Begin(epoch))
