--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -41,17 +41,15 @@
 
 // exchange is one request from a caller, with its answer.
 type exchange struct {
-	d        *Daemon
-	id       relay.RequestID
-	w        http.ResponseWriter
-	r        *http.Request
-	body     []byte
-	route    *route.Route
-	request  relay.Request
-	commands chan any
-	// callerDeadline is when the caller gives up; zero if it does not say.
-	callerDeadline time.Time
-	arrivedAt      time.Time
+	d         *Daemon
+	id        relay.RequestID
+	w         http.ResponseWriter
+	r         *http.Request
+	body      []byte
+	route     *route.Route
+	request   relay.Request
+	commands  chan any
+	arrivedAt time.Time
 	// headed says that the head of the answer has been passed on.
 	headed bool
 	// last is the last event passed on.
