relay: refuse what a stopping router can't send in time

Ruled out: the load (asked for and in progress), the drain of what had been sent (all ended).

The reducer now knows when the process breaks off: what would be sent in the second half of the time left is refused at once with a Retry-After of now, as another router can take it; attempts still in progress at the end are broken off and answered, where the connection was closed. Also found by the test: a second request for a model whose load was asked for and not yet reported counted that load twice (4 s for 2 s).

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -80,6 +80,7 @@
 	MayHaveRun Reason = "may-have-run"
 	OutOfTime  Reason = "out-of-time"
 	AllFailed  Reason = "attempts-failed"
+	Stopping   Reason = "stopping"
 )
 
 // Refuse answers a request that has not run and will not run.
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -182,6 +182,14 @@
 // Kind implements event.Event.
 func (Adopted) Kind() string { return "relay-adopted" }
 
+// Leaving tells that the process stops, and when it cuts off what is in progress.
+type Leaving struct {
+	By time.Time
+}
+
+// Kind implements event.Event.
+func (Leaving) Kind() string { return "relay-leaving" }
+
 // Configured brings settings that have changed.
 type Configured struct {
 	Settings Settings
--- /dev/null
+++ b/core/relay/leave_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+)
+
+// A stopping router refuses at once what waits for a load that ends too late, so
+// that the caller gets an answer and another router the time: seen on the day in
+// deploy/days/stop-while-waiting.toml.
+func TestStoppingRouterRefusesWhatWouldWaitTooLong(t *testing.T) {
+	const grace = 8 * time.Second
+	for name, c := range map[string]struct {
+		model   string
+		refused bool
+	}{
+		"from the weight store, 9 s": {"e", true},
+		"from disk, 2 s":             {"a", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, member("e1", llm))
+			w.report("e1", nil)
+			long := streamRoute()
+			long.Timeout = 35 * time.Second
+			id := w.arrive(long, stock.Item{Model: c.model})
+			w.apply(Leaving{By: w.now.Add(grace)})
+			if !c.refused {
+				assert.Empty(t, effectsOf[Refuse](w))
+				return
+			}
+			refused := only[Refuse](w)
+			assert.Equal(t, id, refused.ID)
+			assert.Equal(t, Stopping, refused.Reason)
+			assert.Equal(t, w.now, refused.RetryAt, "another router takes it at once")
+		})
+	}
+}
+
+// What still waits when half of the time is over is refused then, also when it
+// arrives later.
+func TestStoppingRouterRefusesWhatStillWaits(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", nil)
+	id := w.arrive(streamRoute(), modelA)
+	w.apply(Leaving{By: w.now.Add(8 * time.Second)})
+	assert.Contains(t, w.effects, event.Wake{At: w.now.Add(4 * time.Second)})
+	w.pass(4 * time.Second)
+	assert.Equal(t, id, only[Refuse](w).ID)
+	w.arrive(streamRoute(), modelA)
+	assert.Equal(t, Stopping, only[Refuse](w).Reason)
+}
+
+// A stream that a stopping router was passing on and that breaks is resumed
+// elsewhere as before, and without an endpoint ends visibly.
+func TestStoppingRouterEndsBrokenStreams(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", holding("a"))
+	id := w.arrive(streamRoute(), modelA)
+	w.apply(Leaving{By: w.now.Add(8 * time.Second)})
+	w.pass(7 * time.Second)
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 3, Answering: true})
+	assert.Equal(t, id, only[Fail](w).ID)
+}
+
+// An attempt that is broken off when the time is over is not made again.
+func TestStoppingRouterSendsNothingAtTheEnd(t *testing.T) {
+	w := newWorld(t, member("e1", plain), member("e2", plain))
+	id := w.arrive(plainRoute(route.Safe), stock.Item{})
+	w.apply(Leaving{By: w.now.Add(2 * time.Second)})
+	w.now = w.now.Add(2 * time.Second)
+	w.ended(id, Broken)
+	assert.Equal(t, Stopping, only[Fail](w).Reason)
+	assert.Empty(t, effectsOf[Send](w))
+}
+
+// A second request for a model whose load has been asked for and not yet been
+// reported is not counted behind that load.
+func TestAskedLoadIsNotCountedTwice(t *testing.T) {
+	w := newWorld(t, member("e1", llm))
+	w.report("e1", nil)
+	w.arrive(streamRoute(), modelA)
+	first := only[Wait](w)
+	w.arrive(streamRoute(), modelA)
+	assert.Equal(t, first.ReadyAt, only[Wait](w).ReadyAt)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -41,6 +41,9 @@
 	// copies are the wishes for one more copy, looked at again at spreadAt.
 	copies   []copyWant
 	spreadAt time.Time
+	// sendBy is the last moment to send a waiting request before the process stops,
+	// endBy when attempts are broken off; zero if it does not stop.
+	sendBy, endBy time.Time
 }
 
 // request is one in progress.
@@ -108,6 +111,8 @@
 		s.agentLost(ev)
 	case Adopted:
 		s.table = ev.Table
+	case Leaving:
+		s.stopping(ev)
 	case Configured:
 		s.cfg, s.budget.cfg = ev.Settings, ev.Settings
 	case event.Tick:
@@ -138,6 +143,10 @@
 		s.expire(r)
 		return
 	}
+	if !s.endBy.IsZero() && !s.now.Before(s.endBy) {
+		s.refuse(r, Stopping, s.now)
+		return
+	}
 	if r.Item.Model != "" && s.unknownModel(r) {
 		s.refuse(r, NoModel, s.now.Add(retryUnknown))
 		return
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -43,7 +43,15 @@
 		})
 	}
 	s.emitWake(r.Deadline)
+	if s.tooLateToSend(s.now) {
+		s.refuse(r, Stopping, s.now)
+		return
+	}
 	readyAt, reason := s.expected(r)
+	if reason == "" && s.tooLateToSend(readyAt) {
+		s.refuse(r, Stopping, s.now)
+		return
+	}
 	if reason == "" && readyAt.Add(startMargin).Before(r.Deadline) {
 		s.tellWait(r, readyAt)
 		return
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -140,7 +140,7 @@
 			at = l.ReadyAt
 		}
 	}
-	at = at.Add(s.askedLoads(e, engine))
+	at = at.Add(s.askedLoads(e, item, engine))
 	model := engine.Models[item.Model]
 	at = at.Add(loadTime(e, model))
 	if roomFor(e, model, engine) {
@@ -156,12 +156,12 @@
 	return b
 }
 
-// askedLoads is the time of the loads that this router has asked of an endpoint
-// and that its report does not tell of yet.
-func (s *State) askedLoads(e *endpoint, engine *route.Engine) time.Duration {
+// askedLoads is the time of the other loads that this router has asked of an
+// endpoint and that its report does not tell of yet.
+func (s *State) askedLoads(e *endpoint, item stock.Item, engine *route.Engine) time.Duration {
 	var sum time.Duration
 	for _, w := range s.wants {
-		if w.instance != e.Instance || w.key.item.Adapter != "" {
+		if w.instance != e.Instance || w.key.item.Adapter != "" || w.key.item == item {
 			continue
 		}
 		if _, ok := e.Stock.Loading(w.key.item); !ok {
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -38,8 +38,12 @@
 	// linesPerSecond bounds the lines of a process at the level info: above what a
 	// busy day writes, below what a small core can afford.
 	linesPerSecond = 400
-	// stopMargin is left of the time for stopping when requests are cut off.
+	// stopMargin is left of the time for stopping when requests are broken off.
 	stopMargin = 300 * time.Millisecond
+	// breakOffTime bounds, within stopMargin, how long the last answers may take,
+	// and breakOffPoll is how often that is looked at.
+	breakOffTime = 200 * time.Millisecond
+	breakOffPoll = 5 * time.Millisecond
 )
 
 var errNotReady = errors.New("routes or endpoints are not known yet, or the process is leaving")
@@ -215,14 +219,16 @@
 // Stop has the balancer send callers elsewhere, goes on serving open connections
 // for a while, and waits for the requests in progress.
 func (r *Relay) Stop(ctx context.Context) error {
-	r.daemon.Leave()
+	at, ok := ctx.Deadline()
+	if !ok {
+		at = time.Now().Add(r.cfg.Process.DrainTimeout)
+	}
+	at = at.Add(-stopMargin)
+	r.daemon.Leave(at)
 	r.log.Info().Int("in-progress", r.daemon.InProgress()).Msg("stopping")
 	defer r.stop()
-	if at, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, at.Add(-stopMargin))
-		defer cancel()
-	}
+	ctx, cancel := context.WithDeadline(ctx, at)
+	defer cancel()
 	select {
 	case <-ctx.Done():
 	case <-time.After(leaveTime):
@@ -230,12 +236,22 @@
 	defer func() { _ = r.admin.Close() }()
 	if err := r.calls.Shutdown(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.InProgress()).Msg("stopped with requests in progress")
+		r.breakOff()
 		return fmt.Errorf("finish requests: %w", err)
 	}
 	r.log.Info().Msg("stopped")
 	return nil
 }
 
+// breakOff gives the requests that are still in progress their final answers.
+func (r *Relay) breakOff() {
+	r.daemon.Abort()
+	end := time.Now().Add(breakOffTime)
+	for r.daemon.InProgress() > 0 && time.Now().Before(end) {
+		time.Sleep(breakOffPoll)
+	}
+}
+
 // NewGateLog returns the log of a process on the platform, and bounds the
 // memory that the runtime takes.
 func NewGateLog(cfg *config.Gate, w io.Writer) (*logs.Log, error) {
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -60,6 +60,10 @@
 	mu        sync.Mutex
 	last      relay.RequestID
 	exchanges map[relay.RequestID]*exchange
+
+	// aborted ends when the attempts in progress are broken off.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // New returns a daemon that has not been started.
@@ -68,6 +72,7 @@
 		opts: opts, log: opts.Log, pool: conns.NewPool(),
 		exchanges: make(map[relay.RequestID]*exchange), meters: newMeters(opts.Metrics),
 	}
+	d.aborted, d.abort = context.WithCancel(context.Background())
 	d.loop = loop.New(relay.New(opts.Settings), opts.Recorder)
 	d.agents = newAgents(d)
 	return d
@@ -76,6 +81,7 @@
 // Run runs the daemon until the context ends.
 func (d *Daemon) Run(ctx context.Context) {
 	defer d.agents.stop()
+	defer d.abort()
 	go d.prune(ctx)
 	d.loop.Run(ctx, executor{d, ctx})
 }
@@ -131,8 +137,16 @@
 // Leaving says whether Leave has been called.
 func (d *Daemon) Leaving() bool { return d.leaving.Load() }
 
-// Leave has callers told that their connections end with the next answer.
-func (d *Daemon) Leave() { d.leaving.Store(true) }
+// Leave has callers told that their connections end with the next answer. What
+// can't be answered by then is refused in time; Abort is to follow then.
+func (d *Daemon) Leave(by time.Time) {
+	d.leaving.Store(true)
+	d.loop.Post(relay.Leaving{By: by})
+}
+
+// Abort breaks off the attempts in progress, so that each request gets its final
+// answer before the process ends.
+func (d *Daemon) Abort() { d.abort() }
 
 // InProgress returns how many requests have no final answer.
 func (d *Daemon) InProgress() int {
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -186,6 +186,7 @@
 		return err
 	}
 	stop := context.AfterFunc(ctx, c.Abort)
+	defer context.AfterFunc(x.d.aborted, c.Abort)()
 	keep, err := x.converse(c, send, ended)
 	if stop() && keep != (conns.Keep{}) {
 		x.d.pool.Put(c, keep)
