swap: make room for adapters by their requests, and order each out once

Ruled out: the endpoint (each order was accepted), the sequence (unchanged, no conflict).

Routers now tell what they run with each adapter. The adapter without requests, or else with the fewest, makes room; it is ordered out once and no longer reported; where all have requests the load is not promised, so that routers ask elsewhere.

--- a/core/relay/ask.go
+++ b/core/relay/ask.go
@@ -95,6 +95,9 @@
 		}
 		list = append(list, use)
 	}
+	for _, item := range slices.SortedFunc(maps.Keys(e.adapters), compareItems) {
+		list = append(list, stock.Use{Model: item.Model, Adapter: item.Adapter, Running: e.adapters[item]})
+	}
 	return list
 }
 
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -37,8 +37,9 @@
 	// running, unread: this router's attempts, and the tokens of prompts among
 	// them that have not begun to answer.
 	running, unread int
-	// models counts this router's attempts by model.
-	models map[string]int
+	// models counts this router's attempts by model, adapters by adapter.
+	models   map[string]int
+	adapters map[stock.Item]int
 	// since counts attempts sent since the agent's last report and before that
 	// one, which the report may not tell of.
 	since, before int
@@ -51,7 +52,7 @@
 }
 
 func newEndpoint(m Member, now time.Time) *endpoint {
-	return &endpoint{Member: m, listedAt: now, models: make(map[string]int), speed: firstSpeed}
+	return &endpoint{Member: m, listedAt: now, models: make(map[string]int), adapters: make(map[stock.Item]int), speed: firstSpeed}
 }
 
 // bornAgain says whether an entry is of a later incarnation under the same name,
@@ -88,6 +89,9 @@
 	e.since++
 	e.unread += r.TokensIn
 	e.models[r.Item.Model]++
+	if r.Item.Adapter != "" {
+		e.adapters[r.Item]++
+	}
 }
 
 func (e *endpoint) remove(r *request) {
@@ -98,6 +102,12 @@
 	if e.models[r.Item.Model]--; e.models[r.Item.Model] <= 0 {
 		delete(e.models, r.Item.Model)
 	}
+	if r.Item.Adapter == "" {
+		return
+	}
+	if e.adapters[r.Item]--; e.adapters[r.Item] <= 0 {
+		delete(e.adapters, r.Item)
+	}
 }
 
 // begun takes a prompt as read.
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -87,9 +87,11 @@
 	Rate float64
 }
 
-// Use is a router's traffic for one model.
+// Use is a router's traffic for one model, or what it runs with an adapter.
 type Use struct {
 	Model string
+	// Adapter is empty for the model as a whole; otherwise only Running counts.
+	Adapter string
 	// Running is how many of its requests the endpoint runs for this router.
 	Running int
 	// Rate is how many requests come in a second, at this router.
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,10 +42,13 @@
 	routers map[uint64]demand
 	order   *order
 	number  uint64
-	// since is when each held model was first seen, and lastWanted when an
-	// adapter was last asked for.
-	since      map[string]time.Time
-	lastWanted map[stock.Item]time.Time
+	// since is when each held model was first seen, and lastUsed when an adapter was
+	// last asked for or had requests.
+	since    map[string]time.Time
+	lastUsed map[stock.Item]time.Time
+	// draining are adapters that have been ordered out, which waits for their
+	// requests, and until when they are taken as leaving.
+	draining map[stock.Item]time.Time
 	// wantedAt is since when an item that is not held has been asked for.
 	wantedAt  map[stock.Item]time.Time
 	polledAt  time.Time
@@ -72,10 +76,11 @@
 // New returns the state of an agent that has just started.
 func New() *State {
 	return &State{
-		routers:    make(map[uint64]demand),
-		since:      make(map[string]time.Time),
-		lastWanted: make(map[stock.Item]time.Time),
-		wantedAt:   make(map[stock.Item]time.Time),
+		routers:  make(map[uint64]demand),
+		since:    make(map[string]time.Time),
+		lastUsed: make(map[stock.Item]time.Time),
+		draining: make(map[stock.Item]time.Time),
+		wantedAt: make(map[stock.Item]time.Time),
 	}
 }
 
@@ -119,6 +124,7 @@
 	if ev.Engine.Born != s.seen.Born || ev.Engine.Report.Instance != s.seen.Report.Instance {
 		s.order = nil
 		s.since = make(map[string]time.Time)
+		clear(s.draining)
 	}
 	s.seen, s.seenAt = ev.Engine, ev.AskedAt
 	held := make(map[string]time.Time, len(s.since))
@@ -130,13 +136,21 @@
 		held[h.Model] = at
 	}
 	s.since = held
+	maps.DeleteFunc(s.draining, func(a stock.Item, until time.Time) bool {
+		return !s.seen.Report.Holds(a) || s.now.After(until)
+	})
 }
 
 func (s *State) demanded(ev Demanded) {
 	s.routers[ev.Router] = demand{Demand: ev.Demand, until: s.now.Add(demandTime)}
 	for _, w := range ev.Demand.Wants {
 		if w.Item.Adapter != "" {
-			s.lastWanted[w.Item] = s.now
+			s.lastUsed[w.Item] = s.now
+		}
+	}
+	for _, u := range ev.Demand.Uses {
+		if u.Adapter != "" {
+			s.lastUsed[stock.Item{Model: u.Model, Adapter: u.Adapter}] = s.now
 		}
 	}
 }
@@ -147,6 +161,9 @@
 		return
 	}
 	o.answered = true
+	if ev.Answer == Accepted && o.Operation == Unload && o.Item.Adapter != "" {
+		s.draining[o.Item] = s.now.Add(drainMost)
+	}
 	if ev.Answer != Accepted && ev.Answer != Holds {
 		s.order = nil
 	}
@@ -229,24 +246,28 @@
 // staying lists what the endpoint holds but for what is being unloaded: requests
 // for that are turned away.
 func (s *State) staying() []stock.Held {
-	o := s.order
-	if o == nil || o.Operation != Unload {
+	if len(s.draining) == 0 && (s.order == nil || s.order.Operation != Unload) {
 		return s.seen.Report.Models
 	}
 	list := make([]stock.Held, 0, len(s.seen.Report.Models))
 	for _, h := range s.seen.Report.Models {
-		if h.Model != o.Item.Model {
-			list = append(list, h)
+		if s.leaving(stock.Item{Model: h.Model}) {
 			continue
 		}
-		if o.Item.Adapter != "" {
-			h.Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool { return a == o.Item.Adapter })
-			list = append(list, h)
-		}
+		h.Adapters = slices.DeleteFunc(slices.Clone(h.Adapters), func(a string) bool {
+			return s.leaving(stock.Item{Model: h.Model, Adapter: a})
+		})
+		list = append(list, h)
 	}
 	return list
 }
 
+// leaving says whether an item has been ordered out.
+func (s *State) leaving(item stock.Item) bool {
+	_, draining := s.draining[item]
+	return draining || s.order != nil && s.order.Operation == Unload && s.order.Item == item
+}
+
 func sameHeld(a, b stock.Held) bool {
 	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
@@ -256,7 +277,15 @@
 // heldUp says whether a load has to wait for requests to end: it is not promised
 // to routers, so that they ask elsewhere.
 func (s *State) heldUp(w stock.Want) bool {
-	if w.Item.Adapter != "" || s.engine == nil || s.used()+s.engine.Models[w.Item.Model].Size <= s.engine.Memory {
+	if s.engine == nil {
+		return false
+	}
+	if w.Item.Adapter != "" && s.seen.Report.Holds(stock.Item{Model: w.Item.Model}) {
+		return !s.adapterFits(s.engine.Models[w.Item.Model]) && !slices.ContainsFunc(s.adapters(), func(a stock.Item) bool {
+			return s.runningWith(a) == 0
+		})
+	}
+	if w.Item.Adapter != "" || s.used()+s.engine.Models[w.Item.Model].Size <= s.engine.Memory {
 		return false
 	}
 	if o := s.order; o != nil {
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -26,6 +26,7 @@
 	doneAt   time.Time
 	crashed  bool
 	loads    []string
+	adapters adapters
 }
 
 func newSpec() *route.Engine {
@@ -72,6 +73,9 @@
 		return Conflict
 	}
 	e.sequence++
+	if o.Operation == Unload && e.adapters.busy[o.Item.Adapter] {
+		return Accepted
+	}
 	if o.Item.Adapter == "" {
 		e.busy = &o
 		e.doneAt = now.Add(50 * time.Millisecond)
@@ -103,6 +107,12 @@
 	}
 }
 
+// adapters holds what an endpoint does with the adapters that have requests: an
+// unload waits for them.
+type adapters struct {
+	busy map[string]bool
+}
+
 // world drives an agent beside an engine.
 type world struct {
 	t      *testing.T
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -23,7 +23,7 @@
 		}),
 		Uses: lo.Map(d.Uses, func(u stock.Use, _ int) *wirepb.Use {
 			return &wirepb.Use{
-				Model: u.Model, Running: uint32(u.Running), RateMilli: uint32(u.Rate * 1000), Holders: uint32(u.Holders),
+				Model: u.Model, Adapter: u.Adapter, Running: uint32(u.Running), RateMilli: uint32(u.Rate * 1000), Holders: uint32(u.Holders),
 			}
 		}),
 	}
@@ -41,7 +41,7 @@
 		}),
 		Uses: lo.Map(d.GetUses(), func(u *wirepb.Use, _ int) stock.Use {
 			return stock.Use{
-				Model: u.GetModel(), Running: int(u.GetRunning()), Rate: float64(u.GetRateMilli()) / 1000,
+				Model: u.GetModel(), Adapter: u.GetAdapter(), Running: int(u.GetRunning()), Rate: float64(u.GetRateMilli()) / 1000,
 				Holders: int(u.GetHolders()),
 			}
 		}),
