--- a/core/relay/bench_test.go
+++ b/core/relay/bench_test.go
@@ -70,6 +70,22 @@
 	s.Apply(now, Ended{ID: id, Result: Done, LastEvent: 56})
 }
 
+// BenchmarkChooseAtTarget measures one choice of an endpoint alone.
+func BenchmarkChooseAtTarget(b *testing.B) {
+	s, now := targetState(b)
+	s.now = now
+	requests := make([]*request, targetModels)
+	for n := range requests {
+		requests[n] = &request{Request: targetRequest(now, n)}
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if e, _ := s.choose(requests[n%targetModels]); e == nil {
+			b.Fatal("no endpoint")
+		}
+	}
+}
+
 // BenchmarkReportAtTarget measures taking in one agent's report.
 func BenchmarkReportAtTarget(b *testing.B) {
 	s, now := targetState(b)
