relay: load a model that no request can wait for, and adapters where none is held up

Routers now ask for it on behalf of those to come when four of their requests came within 20 s; the refusals tell when it will be there.

A load that is late for a request is asked for elsewhere if a copy is at hand.

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -360,3 +360,55 @@
 	assert.Zero(t, e.unread)
 	assert.Empty(t, e.models)
 }
+
+// A model that every request is too impatient for is loaded for those to come: on
+// a played day 705 requests for one model were refused within 42 s, as none could
+// wait for the weight store and so none asked for the load.
+func TestModelThatNobodyCanWaitForIsLoaded(t *testing.T) {
+	const load = 9 * time.Second
+	for name, c := range map[string]struct {
+		every time.Duration
+		asked bool
+	}{"asked for often": {500 * time.Millisecond, true}, "asked for once": {time.Minute, false}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, member("e1", llm))
+			w.report("e1", holding("a"))
+			brief := streamRoute()
+			brief.Timeout = 5 * time.Second
+			var asks []Ask
+			begun := w.now
+			next := w.now
+			for w.now.Before(begun.Add(5 * time.Second)) {
+				if !w.now.Before(next) {
+					w.arrive(brief, stock.Item{Model: "e"})
+					assert.Equal(t, TooLate, only[Refuse](w).Reason)
+					next = w.now.Add(c.every)
+				}
+				w.pass(100 * time.Millisecond)
+				asks = append(asks, effectsOf[Ask](w)...)
+			}
+			asked := lo.ContainsBy(asks, func(a Ask) bool {
+				return lo.ContainsBy(a.Demand.Wants, func(want stock.Want) bool { return want.Item.Model == "e" && want.Waiting == 0 })
+			})
+			require.Equal(t, c.asked, asked)
+			if !asked {
+				return
+			}
+			// Whoever comes while it is loaded is told when to come back.
+			readyAt := w.now.Add(load)
+			w.report("e1", func(r *stock.Report) {
+				r.Models = []stock.Held{{Model: "a"}}
+				r.Loads = []stock.Load{{Item: stock.Item{Model: "e"}, ReadyAt: readyAt}}
+			})
+			w.arrive(brief, stock.Item{Model: "e"})
+			assert.Equal(t, readyAt, only[Refuse](w).RetryAt)
+			// The wish stands while it is loaded.
+			for range 20 {
+				w.pass(100 * time.Millisecond)
+				for _, a := range effectsOf[Ask](w) {
+					assert.NotEmpty(t, a.Demand.Wants)
+				}
+			}
+		})
+	}
+}
--- a/core/relay/traffic.go
+++ b/core/relay/traffic.go
@@ -25,6 +25,7 @@
 	at          time.Time
 	// tokens is the mean length of the prompts.
 	tokens float64
+	first  firstCopy
 }
 
 // countTraffic counts one request.
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -71,7 +71,7 @@
 	}
 	if e := s.endpoint(w.instance); w.instance != "" && e != nil {
 		if readyAt, ok := e.Stock.Loading(key.item); ok && s.now.Before(readyAt.Add(overdueTime)) {
-			return readyAt, ""
+			return s.sooner(w, engine, r, readyAt), ""
 		}
 		if s.now.Before(w.askedAt.Add(ackTime)) {
 			readyAt, _ := s.loadAt(e, key.item, engine)
@@ -92,6 +92,23 @@
 	return readyAt, ""
 }
 
+// sooner asks for a load elsewhere if it is too late for a request where it was
+// asked for and in time there, from a copy at hand. It returns when the load is expected.
+func (s *State) sooner(w *want, engine *route.Engine, r *request, readyAt time.Time) time.Time {
+	if readyAt.Add(startMargin).Before(r.Deadline) {
+		return readyAt
+	}
+	e, at := s.loadPlace(w.key, engine, append(slices.Clone(w.tried), w.instance))
+	if e == nil || !at.Add(startMargin).Before(r.Deadline) || s.fromStore(e, w.key.item) {
+		return readyAt
+	}
+	w.tried = append(w.tried, w.instance)
+	s.retarget(w, e.Instance)
+	w.askedAt = s.now
+	s.emitWake(s.now.Add(ackTime))
+	return at
+}
+
 // retarget has another endpoint asked for a load; none if it is empty.
 func (s *State) retarget(w *want, instance string) {
 	for _, id := range []string{w.instance, instance} {
@@ -106,10 +123,14 @@
 func (s *State) loadPlace(key wantKey, engine *route.Engine, tried []string) (*endpoint, time.Time) {
 	var best *endpoint
 	var bestAt, least time.Time
+	onlyHolders := key.item.Adapter != "" && s.holderLives(key)
 	for _, e := range s.index.services[key.service] {
 		if e.Leaving || e.Stock.Holds(key.item) || !e.hasAgent || slices.Contains(tried, e.Instance) {
 			continue
 		}
+		if onlyHolders && s.fromStore(e, key.item) {
+			continue
+		}
 		readyAt, cost := s.loadAt(e, key.item, engine)
 		spread := xxhash.Sum64String(e.Instance+" "+key.item.Model+" "+key.item.Adapter) % uint64(spreadCost)
 		at := readyAt.Add(cost + time.Duration(spread))
@@ -120,33 +141,59 @@
 	return best, bestAt
 }
 
+// holderLives says whether an endpoint that holds the item's model has its agent: the
+// weight store is not asked for a model on account of one of its adapters.
+func (s *State) holderLives(key wantKey) bool {
+	return slices.ContainsFunc(s.candidates(key.service, key.item.Model), func(e *endpoint) bool {
+		return !e.Leaving && e.hasAgent && e.Stock.Holds(stock.Item{Model: key.item.Model})
+	})
+}
+
 // loadAt returns when an endpoint would have loaded the item, and what the
 // model that makes room costs besides.
 func (s *State) loadAt(e *endpoint, item stock.Item, engine *route.Engine) (time.Time, time.Duration) {
 	if readyAt, ok := e.Stock.Loading(item); ok {
 		return latest(readyAt, s.now), 0
 	}
-	at := s.now
 	if item.Adapter != "" {
 		base := stock.Item{Model: item.Model}
 		if e.Stock.Holds(base) {
-			return at.Add(adapterTime), 0
+			return s.freeAt(e).Add(adapterTime), 0
 		}
 		readyAt, cost := s.loadAt(e, base, engine)
 		return readyAt.Add(adapterTime), cost
 	}
-	for _, l := range e.Stock.Loads {
-		if l.Item.Adapter == "" && l.ReadyAt.After(at) {
-			at = l.ReadyAt
-		}
-	}
+	at := s.freeAt(e)
 	at = at.Add(s.askedLoads(e, item, engine))
 	model := engine.Models[item.Model]
 	at = at.Add(loadTime(e, model))
+	var cost time.Duration
+	if s.fromStore(e, item) {
+		// All loads from the weight store share it, so that each delays others.
+		cost = model.FromStore
+	}
 	if roomFor(e, model, engine) {
-		return at, 0
+		return at, cost
+	}
+	return at.Add(unloadTime), cost + s.evictCost(e)
+}
+
+// fromStore says whether an endpoint would load an item's model from the weight
+// store.
+func (s *State) fromStore(e *endpoint, item stock.Item) bool {
+	return !e.Stock.Holds(stock.Item{Model: item.Model}) && !hasCopy(e, item.Model)
+}
+
+// freeAt returns when an endpoint has loaded all models that it reports to be on
+// their way: it carries out one order at a time.
+func (s *State) freeAt(e *endpoint) time.Time {
+	at := s.now
+	for _, l := range e.Stock.Loads {
+		if l.Item.Adapter == "" {
+			at = latest(at, l.ReadyAt)
+		}
 	}
-	return at.Add(unloadTime), s.evictCost(e)
+	return at
 }
 
 func latest(a, b time.Time) time.Time {
--- a/core/swap/adapter_test.go
+++ b/core/swap/adapter_test.go
@@ -79,3 +79,20 @@
 	w.run(busyPatience + 4*time.Second)
 	assert.Contains(t, w.holds(), "m1")
 }
+
+// An endpoint carries out one order at a time: an agent that starts while a model
+// is loaded from the weight store orders no adapter, and promises none.
+func TestAdapterWaitsForAModelThatIsLoaded(t *testing.T) {
+	w, d := newAdapterWorld(t, nil)
+	w.e.held[0].Adapters = nil
+	w.e.busy = &Order{Operation: Load, Item: stock.Item{Model: "m1"}}
+	w.e.doneAt = w.now.Add(9 * time.Second)
+	w.run(time.Second)
+	d.Wants = []stock.Want{adapterWant(w, "a3")}
+	w.demand(1, d)
+	w.run(5 * time.Second)
+	assert.Zero(t, w.e.orders)
+	assert.Empty(t, w.reported.Loads)
+	w.run(4 * time.Second)
+	assert.Equal(t, []string{"a3"}, w.e.held[0].Adapters)
+}
--- a/core/swap/next.go
+++ b/core/swap/next.go
@@ -86,7 +86,7 @@
 
 func (s *State) serveAdapter(item stock.Item) bool {
 	model, ok := s.engine.Models[item.Model]
-	if !ok || slices.Contains(s.seen.Coming, item) {
+	if !ok || s.seen.Busy || slices.Contains(s.seen.Coming, item) {
 		return false
 	}
 	if s.adapterFits(model) {
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -280,6 +280,10 @@
 	if s.engine == nil {
 		return false
 	}
+	if s.seen.Busy && s.order == nil {
+		// A predecessor's order; nobody knows how long it takes.
+		return true
+	}
 	if w.Item.Adapter != "" && s.seen.Report.Holds(stock.Item{Model: w.Item.Model}) {
 		return !s.adapterFits(s.engine.Models[w.Item.Model]) && !slices.ContainsFunc(s.adapters(), func(a stock.Item) bool {
 			return s.runningWith(a) == 0
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -22,6 +22,8 @@
 	held     []stock.Held
 	disk     []string
 	sequence int64
+	// orders counts all that came, refused ones too.
+	orders   int
 	busy     *Order
 	doneAt   time.Time
 	crashed  bool
@@ -69,7 +71,8 @@
 
 // order takes an order as the platform's endpoints do.
 func (e *engine) order(now time.Time, o Order) Answer {
-	if o.Sequence != e.sequence || e.busy != nil && o.Item.Adapter == "" {
+	e.orders++
+	if o.Sequence != e.sequence || e.busy != nil {
 		return Conflict
 	}
 	e.sequence++
