relay: keep at most two loads from the weight store on their way

Routers see from reports which loads come from the store; what would be a third one is refused at once, with the time at which it would be there. Ruled out as cause: places (enough were idle), orders (none turned down).

--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -20,6 +20,9 @@
 	// evictCost is added to the time of a load for each request a second that the
 	// model which makes room is asked for, at this router.
 	evictCost = 4 * time.Second
+	// storeLoadsMost is how many loads from the weight store may be on their way: all
+	// share it, and platforms carry out one to four at full speed.
+	storeLoadsMost = 2
 	// adapterTime is assumed for the load of an adapter.
 	adapterTime = 40 * time.Millisecond
 	// spreadCost tells endpoints apart that are equal otherwise, the same way at
@@ -84,6 +87,9 @@
 		s.retarget(w, "")
 		w.tried = nil
 		s.forgive(r)
+		if at := s.storeFreeAt(key, engine); !at.IsZero() {
+			return at, ""
+		}
 		return s.now.Add(retryNoEndpoint), ""
 	}
 	s.retarget(w, e.Instance)
@@ -124,11 +130,12 @@
 	var best *endpoint
 	var bestAt, least time.Time
 	onlyHolders := key.item.Adapter != "" && s.holderLives(key)
+	storeBusy := len(s.storeLoads(key.service)) >= storeLoadsMost
 	for _, e := range s.index.services[key.service] {
 		if e.Leaving || e.Stock.Holds(key.item) || !e.hasAgent || slices.Contains(tried, e.Instance) {
 			continue
 		}
-		if onlyHolders && s.fromStore(e, key.item) {
+		if (onlyHolders || storeBusy && !loadsModel(e, key.item.Model)) && s.fromStore(e, key.item) {
 			continue
 		}
 		readyAt, cost := s.loadAt(e, key.item, engine)
@@ -149,6 +156,37 @@
 	})
 }
 
+// storeLoads returns when the loads that endpoints report to be on their way from
+// the weight store are expected, the first one first.
+func (s *State) storeLoads(service string) []time.Time {
+	var list []time.Time
+	for _, e := range s.index.services[service] {
+		for _, l := range e.Stock.Loads {
+			if l.Item.Adapter == "" && s.fromStore(e, l.Item) {
+				list = append(list, l.ReadyAt)
+			}
+		}
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	return list
+}
+
+// loadsModel says whether an endpoint reports a load of a model.
+func loadsModel(e *endpoint, model string) bool {
+	_, ok := e.Stock.Loading(stock.Item{Model: model})
+	return ok
+}
+
+// storeFreeAt returns when a model would be there that waits for its turn at the
+// weight store; zero if the store is free.
+func (s *State) storeFreeAt(key wantKey, engine *route.Engine) time.Time {
+	loads := s.storeLoads(key.service)
+	if len(loads) < storeLoadsMost {
+		return time.Time{}
+	}
+	return latest(loads[0], s.now).Add(engine.Models[key.item.Model].FromStore)
+}
+
 // loadAt returns when an endpoint would have loaded the item, and what the
 // model that makes room costs besides.
 func (s *State) loadAt(e *endpoint, item stock.Item, engine *route.Engine) (time.Time, time.Duration) {
