relay: tell callers that would leave before a load ends when to come back

The platform's callers leave a stream after the longest of four objectives, eight pauses and 2 s without a word; the route's time is often longer. They are now refused at once with the time at which the model is there, and the load goes on for then, asked for with the same weight as before; ruled out was to load for every refused request, which made too many loads before.

--- a/core/relay/ask.go
+++ b/core/relay/ask.go
@@ -62,7 +62,10 @@
 		if w.instance != e.Instance {
 			continue
 		}
-		one := stock.Want{Item: w.key.item, Priority: w.requests[0].Route.Priority, Waiting: len(w.requests)}
+		one := stock.Want{Item: w.key.item, Priority: w.priority, Waiting: max(len(w.requests), 1), Deadline: w.until}
+		if len(w.requests) > 0 {
+			one.Priority = w.requests[0].Route.Priority
+		}
 		for _, r := range w.requests {
 			one.Priority = min(one.Priority, r.Route.Priority)
 			if r.Deadline.After(one.Deadline) {
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -280,5 +280,8 @@
 }
 
 func (s *State) tick() {
+	for _, w := range s.wants {
+		s.dropWant(w)
+	}
 	s.serveWaiting()
 }
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chervilreach/core/route"
 	"chervilreach/core/stock"
 )
 
@@ -29,6 +30,12 @@
 	// silentLeast the least time: callers leave after about eight pauses.
 	silentGaps  = 4
 	silentLeast = time.Second
+	// leaveObjectives, leaveGaps and leaveLeast tell when callers of streams leave
+	// that hear nothing: after the longest of so many objectives, so many of the
+	// route's longest pauses, and the least time; from the platform's protocol.
+	leaveObjectives = 4
+	leaveGaps       = 8
+	leaveLeast      = 2 * time.Second
 	// startMargin is the least time that is left to run a request when it is sent.
 	startMargin = 50 * time.Millisecond
 )
@@ -42,7 +49,8 @@
 			return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), a.Deadline.Compare(b.Deadline))
 		})
 	}
-	s.emitWake(r.Deadline)
+	until := r.waitsUntil()
+	s.emitWake(until)
 	if s.tooLateToSend(s.now) {
 		s.refuse(r, Stopping, s.now)
 		return
@@ -52,16 +60,40 @@
 		s.refuse(r, Stopping, s.now)
 		return
 	}
-	if reason == "" && readyAt.Add(startMargin).Before(r.Deadline) {
+	if reason == "" && readyAt.Add(startMargin).Before(until) {
 		s.tellWait(r, readyAt)
 		return
 	}
 	if reason == "" {
 		reason = TooLate
+		s.promise(r, readyAt)
 	}
 	s.refuse(r, reason, s.retryAt(readyAt))
 }
 
+// waitsUntil is when the caller leaves if it hears nothing.
+func (r *request) waitsUntil() time.Time {
+	if r.Route.Kind != route.Stream || r.answering {
+		return r.Deadline
+	}
+	silent := max(leaveObjectives*r.Route.Objective, leaveGaps*r.Route.MaxGap, leaveLeast)
+	if at := r.arrivedAt.Add(silent); at.Before(r.Deadline) {
+		return at
+	}
+	return r.Deadline
+}
+
+// promise lets the load of a request begin that is refused with the time at which
+// the load ends: its caller leaves before, and comes back then.
+func (s *State) promise(r *request, readyAt time.Time) {
+	w := s.wants[wantKey{r.Service, r.Item}]
+	if w == nil || w.instance == "" || !readyAt.Add(startMargin).Before(r.Deadline) {
+		return
+	}
+	w.until, w.priority = s.now.Add(firstPatience), r.Route.Priority
+	s.emitWake(w.until)
+}
+
 // waitsForRoom stands in place of an endpoint for requests that wait for room.
 const waitsForRoom = "room"
 
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -45,6 +45,10 @@
 	requests []*request
 	// tried are endpoints that did not take up the load.
 	tried []string
+	// until is how long the load is asked for without requests, for callers that
+	// were told when to come back, priority that of the last of them.
+	until    time.Time
+	priority int
 }
 
 // expected returns when the request can be sent, as far as known, or why not.
@@ -101,11 +105,12 @@
 // sooner asks for a load elsewhere if it is too late for a request where it was
 // asked for and in time there, from a copy at hand. It returns when the load is expected.
 func (s *State) sooner(w *want, engine *route.Engine, r *request, readyAt time.Time) time.Time {
-	if readyAt.Add(startMargin).Before(r.Deadline) {
+	until := r.waitsUntil()
+	if readyAt.Add(startMargin).Before(until) {
 		return readyAt
 	}
 	e, at := s.loadPlace(w.key, engine, append(slices.Clone(w.tried), w.instance))
-	if e == nil || !at.Add(startMargin).Before(r.Deadline) || s.fromStore(e, w.key.item) {
+	if e == nil || !at.Add(startMargin).Before(until) || s.fromStore(e, w.key.item) {
 		return readyAt
 	}
 	w.tried = append(w.tried, w.instance)
@@ -305,10 +310,16 @@
 	if i := slices.Index(w.requests, r); i >= 0 {
 		w.requests = slices.Delete(w.requests, i, i+1)
 	}
-	if len(w.requests) == 0 {
-		s.retarget(w, "")
-		delete(s.wants, key)
+	s.dropWant(w)
+}
+
+// dropWant forgets a load that nobody waits for.
+func (s *State) dropWant(w *want) {
+	if len(w.requests) > 0 || s.now.Before(w.until) {
+		return
 	}
+	s.retarget(w, "")
+	delete(s.wants, w.key)
 }
 
 // checkWants drops loads whose endpoint has dropped them.
--- a/core/relay/world_test.go
+++ b/core/relay/world_test.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// patientRoute is one whose callers wait for a load from the weight store.
+func patientRoute() *route.Route {
+	rt := streamRoute()
+	rt.Objective = 4 * time.Second
+	return rt
+}
+
 func plainRoute(kind route.Kind) *route.Route {
 	return &route.Route{Name: "book", Kind: kind, Timeout: 3 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2}
 }
