--- a/core/relay/spread.go
+++ b/core/relay/spread.go
@@ -17,17 +17,6 @@
 	holderLoad = 0.15
 	// spreadTime is how often the numbers of copies are looked at.
 	spreadTime = 500 * time.Millisecond
-	// firstRequests is from how many requests of this router within rateSpan a model
-	// that nobody holds is loaded for those to come: the load takes the weight store
-	// and the endpoint for as long as rateSpan, which models asked for less are not
-	// worth.
-	firstRequests = 4
-	// firstWorth is how much more a first copy is worth than one more, as agents
-	// count the last copy of a model.
-	firstWorth = 2.0
-	// firstPatience is how long an endpoint may take to begin with a first copy
-	// before another one is asked: longer than models in use take to make room.
-	firstPatience = 3 * time.Second
 	// spreadUntil is how long a wish for one more copy stands.
 	spreadUntil = 5 * time.Second
 )
@@ -85,53 +74,6 @@
 	}
 }
 
-// firstCopy is the wish for a model that nobody holds.
-type firstCopy struct {
-	instance string
-	askedAt  time.Time
-	// tried are endpoints that were asked and did not begin.
-	tried []string
-}
-
-// addFirst asks for the first copy of a model. Requests that wait for it ask
-// themselves; this is for one that takes so long that none can wait.
-func (s *State) addFirst(name string, t *traffic, engine *route.Engine, rate float64) {
-	item := stock.Item{Model: name}
-	if t.rate*rateSpan.Seconds() < firstRequests || s.waitedFor(wantKey{t.service, item}) {
-		t.first = firstCopy{}
-		return
-	}
-	e := s.endpoint(t.first.instance)
-	if e != nil && !e.Leaving && !s.givenUp(e, item, t.first.askedAt) {
-		s.addCopy(e, item, rate*firstWorth)
-		return
-	}
-	if s.loading(t.service, item) > 0 {
-		return
-	}
-	if e != nil {
-		t.first.tried = append(t.first.tried, e.Instance)
-	}
-	if e, _ = s.loadPlace(wantKey{t.service, item}, engine, t.first.tried); e == nil {
-		t.first = firstCopy{}
-		return
-	}
-	t.first.instance, t.first.askedAt = e.Instance, s.now
-	s.addCopy(e, item, rate*firstWorth)
-}
-
-// waitedFor says whether requests wait for an item that an endpoint was asked for.
-func (s *State) waitedFor(key wantKey) bool {
-	w := s.wants[key]
-	return w != nil && w.instance != ""
-}
-
-// givenUp says whether an endpoint has not begun a load in the time for it.
-func (s *State) givenUp(e *endpoint, item stock.Item, askedAt time.Time) bool {
-	_, loading := e.Stock.Loading(item)
-	return !loading && !s.now.Before(askedAt.Add(firstPatience))
-}
-
 // addCopy asks an endpoint for a copy that would take so many requests a second.
 func (s *State) addCopy(e *endpoint, item stock.Item, rate float64) {
 	s.dirty[e.Instance] = true
