--- a/core/relay/places.go
+++ b/core/relay/places.go
@@ -46,8 +46,8 @@
 	return best, bestAt
 }
 
-// holderLives says whether an endpoint that holds the item's model has its agent: the
-// weight store is not asked for a model on account of one of its adapters.
+// holderLives says whether an endpoint that holds the item's model has its agent:
+// the weight store is not asked for a model on account of one of its adapters.
 func (s *State) holderLives(key wantKey) bool {
 	return slices.ContainsFunc(s.candidates(key.service, key.item.Model), func(e *endpoint) bool {
 		return !e.Leaving && e.hasAgent && e.Stock.Holds(stock.Item{Model: key.item.Model})
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -88,7 +88,8 @@
 }
 
 // sooner asks for a load elsewhere if it is too late for a request where it was
-// asked for and in time there, from a copy at hand. It returns when the load is expected.
+// asked for and in time there, from a copy at hand. It returns when the load is
+// expected.
 func (s *State) sooner(w *want, engine *route.Engine, r *request, readyAt time.Time) time.Time {
 	until := r.waitsUntil()
 	if readyAt.Add(startMargin).Before(until) {
--- a/core/swap/adapters.go
+++ b/core/swap/adapters.go
@@ -15,6 +15,8 @@
 // longest streams; then it is taken as staying.
 const drainMost = 10 * time.Second
 
+// serveAdapter orders a step towards an adapter whose model is held; it returns
+// false if none is possible now.
 func (s *State) serveAdapter(item stock.Item) bool {
 	model, ok := s.engine.Models[item.Model]
 	if !ok || s.seen.Busy || slices.Contains(s.seen.Coming, item) {
