--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -137,8 +137,9 @@
 // Leaving says whether Leave has been called.
 func (d *Daemon) Leaving() bool { return d.leaving.Load() }
 
-// Leave has callers told that their connections end with the next answer. What
-// can't be answered by then is refused in time; Abort is to follow then.
+// Leave announces that the process ends: callers are told that their connections
+// end with the next answer, and requests that can't be sent in time are refused.
+// Abort is to be called at that time.
 func (d *Daemon) Leave(by time.Time) {
 	d.leaving.Store(true)
 	d.loop.Post(relay.Leaving{By: by})
