--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,9 @@
 	// late, and the harness sent it before the program had run at all.
 	"settings read again at the start":     {239, 6 * time.Second},
 	"settings read again at the start, II": {300, 4 * time.Second},
+	// A router was started in the moment in which a replica was replaced, and held the
+	// replica's address between fork and exec.
+	"replica replaced while a program starts": {512, 4 * time.Second},
 	// A stand-in of a replica that crashed right after its start kept its address.
 	"replica crashes at once after its start":     {203, 6 * time.Second},
 	"replica crashes at once after its start, II": {208, 6 * time.Second},
