relay: follow a part of the agents of large fleets

Cause: each router was connected to each agent: at the target 6,000 connections a router and 330 an agent, whose pings alone (one every 2 s) are above 3 KB/s, and reports of load come on top.

Change: up to 64 agents are all followed, as before. Of more, a router follows at most 64: where it has asked for loads, then holders of the models that it is asked for, in its own failure domain first and in an order of its own, in proportion to the requests, and four endpoints that may load each model, the same at all routers: those that held it last, then by a hash. Endpoints that are not followed serve by what the list says they hold, at a cost for their unknown load. Agents are told how often reports of load alone are wanted: 16 a second for all that a router follows. The number of routers is worked out from the part that an agent sees.

Before: connections grow as routers x agents.

--- a/core/relay/ask.go
+++ b/core/relay/ask.go
@@ -20,7 +20,7 @@
 // askAgents tells the agents what has changed in what is asked of them.
 func (s *State) askAgents() {
 	if !s.now.Before(s.refreshAt) {
-		s.refreshAt = s.now.Add(max(refreshTime, time.Duration(len(s.endpoints))*refreshEach))
+		s.refreshAt = s.now.Add(max(refreshTime, time.Duration(s.agentsFollowed())*refreshEach))
 		for _, e := range s.endpoints {
 			s.askAgent(e, true)
 		}
@@ -48,14 +48,23 @@
 	if !refresh && sameWants(wants, e.asked.Wants) {
 		return
 	}
-	demand := stock.Demand{Wants: wants, Uses: s.usesOf(e)}
-	if len(demand.Wants) == 0 && len(e.asked.Wants) == 0 && slices.Equal(demand.Uses, e.asked.Uses) {
+	demand := stock.Demand{Wants: wants, Uses: s.usesOf(e), ReportGap: s.reportGap()}
+	if len(demand.Wants) == 0 && len(e.asked.Wants) == 0 && slices.Equal(demand.Uses, e.asked.Uses) &&
+		demand.ReportGap == e.asked.ReportGap {
 		return
 	}
 	e.asked = demand
 	s.emit(Ask{Instance: e.Instance, Demand: demand})
 }
 
+// agentsFollowed returns how many agents the router is connected to, at most.
+func (s *State) agentsFollowed() int {
+	if s.partial() {
+		return len(s.followed)
+	}
+	return len(s.endpoints)
+}
+
 func (s *State) wantsOf(e *endpoint) []stock.Want {
 	var list []stock.Want
 	for _, w := range s.wants {
--- a/core/relay/bench_test.go
+++ b/core/relay/bench_test.go
@@ -32,14 +32,20 @@
 	s.Apply(now, Adopted{Table: route.New(1, route.Limits{}, nil, []*route.Service{{Name: llm, Engine: engine}})})
 	list := make([]Member, 0, targetEndpoints)
 	for i := range targetEndpoints {
-		list = append(list, member(fmt.Sprintf("i-%05d", i), llm))
+		m := member(fmt.Sprintf("i-%05d", i), llm)
+		m.Stock = stock.Report{Instance: m.Instance}
+		for n := range heldModels {
+			m.Stock.Models = append(m.Stock.Models, stock.Held{Model: fmt.Sprintf("m%d", (i*heldModels+n)%targetModels)})
+		}
+		list = append(list, m)
 	}
 	s.Apply(now, Members{List: list})
+	now = now.Add(confirmTime)
+	for n := range targetModels {
+		serveOne(s, now, n)
+	}
 	for i, m := range list {
-		r := stock.Report{Instance: m.Instance, KVTotal: 130_000, Routers: 330, Running: i % 20}
-		for n := range heldModels {
-			r.Models = append(r.Models, stock.Held{Model: fmt.Sprintf("m%d", (i*heldModels+n)%targetModels)})
-		}
+		r := stock.Report{Instance: m.Instance, KVTotal: 130_000, Routers: 4, Running: i % 20, Models: m.Stock.Models}
 		s.Apply(now, Reported{Report: r})
 	}
 	return s, now
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -96,6 +96,9 @@
 	if e.FailureDomain != s.cfg.FailureDomain {
 		cost += crossDomain
 	}
+	if s.partial() && !e.hasAgent && e.HasModels {
+		cost += unseenCost
+	}
 	if s.now.Before(e.avoidUntil) {
 		cost += avoidCost
 	}
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -120,6 +120,18 @@
 // Routine implements event.Routine.
 func (Deliver) Routine() {}
 
+// Follow has the router connected to the agents of these endpoints, and to no
+// others.
+type Follow struct {
+	List []Member
+}
+
+// Kind implements event.Effect.
+func (Follow) Kind() string { return "relay-follow" }
+
+// Routine implements event.Routine.
+func (Follow) Routine() {}
+
 // Ask sends a router's demand to the agent beside an endpoint.
 type Ask struct {
 	Instance string
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -47,12 +47,14 @@
 	avoidUntil    time.Time
 	// speed is how fast prompts are read, in tokens per ms.
 	speed float64
+	// listed is what the list tells of the endpoint's models.
+	listed stock.Report
 	// asked is what the agent was told last.
 	asked stock.Demand
 }
 
 func newEndpoint(m Member, now time.Time) *endpoint {
-	return &endpoint{Member: m, listedAt: now, models: make(map[string]int), adapters: make(map[stock.Item]int), speed: firstSpeed}
+	return &endpoint{Member: m, listed: m.Stock, listedAt: now, models: make(map[string]int), adapters: make(map[stock.Item]int), speed: firstSpeed}
 }
 
 // bornAgain says whether an entry is of a later incarnation under the same name,
@@ -65,10 +67,12 @@
 // the entry says of models.
 func (e *endpoint) update(m Member) {
 	held := e.Stock
-	e.Member = m
+	e.Member, e.listed = m, m.Stock
 	if e.hasAgent {
 		e.Stock = held
+		return
 	}
+	e.Stock.Copies = held.Copies
 }
 
 func (e *endpoint) report(r stock.Report, now time.Time) {
--- a/core/relay/index.go
+++ b/core/relay/index.go
@@ -17,10 +17,17 @@
 type index struct {
 	services map[string][]*endpoint
 	holders  map[holderKey][]*endpoint
+	// former are the instances that held a model last, the latest first.
+	former map[holderKey][]string
+	// hashed are instances by a hash of model and instance, the least first.
+	hashed map[holderKey][]string
 }
 
 func newIndex() index {
-	return index{services: make(map[string][]*endpoint), holders: make(map[holderKey][]*endpoint)}
+	return index{
+		services: make(map[string][]*endpoint), holders: make(map[holderKey][]*endpoint),
+		former: make(map[holderKey][]string), hashed: make(map[holderKey][]string),
+	}
 }
 
 func byInstance(e *endpoint, id string) int { return cmp.Compare(e.Instance, id) }
@@ -67,12 +74,25 @@
 	}
 }
 
+// noteFormer remembers the models that an endpoint holds no longer.
+func (x *index) noteFormer(e *endpoint, before []stock.Held) {
+	for _, h := range before {
+		if e.Stock.Holds(stock.Item{Model: h.Model}) {
+			continue
+		}
+		key := holderKey{e.Service, h.Model}
+		list := slices.DeleteFunc(x.former[key], func(id string) bool { return id == e.Instance })
+		x.former[key] = slices.Insert(list, 0, e.Instance)[:min(len(list)+1, followPlaces)]
+	}
+}
+
 // restock changes what an endpoint is known to hold.
 func (s *State) restock(e *endpoint, change func()) {
 	before := e.Stock.Models
 	s.index.release(e, before)
 	change()
 	s.index.hold(e, e.Stock.Models)
+	s.index.noteFormer(e, before)
 }
 
 // candidates returns the endpoints that may hold what a request needs, or all
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -17,15 +17,19 @@
 	s.endpoints = s.endpoints[:0]
 	for _, m := range ev.List {
 		e := old[m.Instance]
+		var before []stock.Held
 		if e != nil {
+			before = e.Stock.Models
 			s.index.drop(e)
 		}
 		if e == nil || e.bornAgain(m) {
 			e = newEndpoint(m, s.now)
+			clear(s.index.hashed)
 		}
 		delete(old, m.Instance)
 		e.update(m)
 		s.index.add(e)
+		s.index.noteFormer(e, before)
 		s.endpoints = append(s.endpoints, e)
 	}
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
@@ -34,6 +38,10 @@
 		old[id].Leaving = true
 		s.forgetWants(id)
 	}
+	if len(old) > 0 {
+		clear(s.index.hashed)
+	}
+	s.refollow = true
 	s.serveWaiting()
 }
 
@@ -50,10 +58,18 @@
 	if e == nil {
 		return
 	}
+	if _, ok := s.followed[e.Instance]; s.partial() && !ok {
+		// Its agent is being let go of.
+		return
+	}
+	first := !e.hasAgent
 	s.restock(e, func() { e.report(ev.Report, s.now) })
-	s.budget.routers = max(ev.Report.Routers, 1)
+	s.budget.routers = s.routersSeen(ev.Report.Routers)
 	s.checkWants(e)
 	s.serveWaitingFor(e)
+	if first && s.partial() {
+		s.serveWaiting()
+	}
 }
 
 // renamed puts a new instance in the place of one that it replaces.
@@ -69,6 +85,11 @@
 	m.Instance, m.Leaving, m.Born, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, stock.Report{}
 	next := newEndpoint(m, s.now)
 	s.endpoints = insert(remove(s.endpoints, e), next)
+	clear(s.index.hashed)
+	if s.partial() {
+		s.followed[next.Instance] = s.followed[e.Instance]
+		delete(s.followed, e.Instance)
+	}
 	s.index.add(next)
 	s.reported(Reported{Report: ev.Report})
 }
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -9,8 +9,8 @@
 
 // Settings are the figures of a deployment that a router goes by.
 type Settings struct {
-	// FailureDomain is the router's own.
-	FailureDomain string
+	// Process is the router's name, FailureDomain its own.
+	Process, FailureDomain string
 	// RetryRatio and RetryExtra bound the repeats of all routers within
 	// RetryWindow: the ratio of the requests, and so many more.
 	RetryRatio  float64
@@ -41,6 +41,14 @@
 	// copies are the wishes for one more copy, looked at again at spreadAt.
 	copies   []copyWant
 	spreadAt time.Time
+	// followed are the instances whose agents are followed, with the time since when;
+	// nil for all.
+	followed map[string]time.Time
+	// followAt is when they are chosen again, refollow has it done at once.
+	followAt time.Time
+	refollow bool
+	// agents is how many endpoints have agents.
+	agents int
 	// sendBy is the last moment to send a waiting request before the process stops,
 	// endBy when attempts are broken off; zero if it does not stop.
 	sendBy, endBy time.Time
@@ -119,6 +127,7 @@
 		s.tick()
 	}
 	s.spread()
+	s.follow()
 	s.askAgents()
 	return s.effects
 }
--- a/core/relay/traffic.go
+++ b/core/relay/traffic.go
@@ -36,6 +36,7 @@
 		s.demand[r.Item.Model] = t
 	}
 	t.decay(s.now)
+	s.noteFirst(t)
 	t.rate += 1 / rateSpan.Seconds()
 	t.surge += 1 / surgeSpan.Seconds()
 	t.tokens += tokensWeight * (float64(r.TokensIn) - t.tokens)
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -76,6 +76,9 @@
 		s.retarget(w, "")
 		w.tried = nil
 		s.forgive(r)
+		if s.connecting(key) {
+			return s.now.Add(engine.Models[key.item.Model].FromMemory), ""
+		}
 		if at := s.storeFreeAt(key, engine); !at.IsZero() {
 			return at, ""
 		}
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -105,4 +105,7 @@
 type Demand struct {
 	Wants []Want
 	Uses  []Use
+	// ReportGap is the least time between reports that tell only of load; 0 leaves
+	// it to the agent.
+	ReportGap time.Duration
 }
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -235,7 +236,7 @@
 	news := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
 		!slices.EqualFunc(r.Models, old.Models, sameHeld) || !slices.EqualFunc(r.Loads, old.Loads, sameLoad)
 	moved := r.Running != old.Running || r.Waiting != old.Waiting
-	pace := time.Duration(len(s.routers)) * publishEach
+	pace := max(time.Duration(len(s.routers))*publishEach, s.reportGap())
 	if !news && (!moved || sinceLast < max(publishLoad, pace)) && sinceLast < max(publishIdle, pace) {
 		return
 	}
@@ -243,6 +244,15 @@
 	s.emit(Publish{Report: r})
 }
 
+// reportGap is the least time between reports of load that any router asks for.
+func (s *State) reportGap() time.Duration {
+	gap := time.Duration(math.MaxInt64)
+	for _, r := range s.routers {
+		gap = min(gap, r.ReportGap)
+	}
+	return gap
+}
+
 // staying lists what the endpoint holds but for what is being unloaded: requests
 // for that are turned away.
 func (s *State) staying() []stock.Held {
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -369,6 +369,27 @@
 	}
 }
 
+// A router that follows many agents gets the load of each less often, what they
+// hold at once.
+func TestReportsOfLoadAsRarelyAsAsked(t *testing.T) {
+	w := newWorld(t, "m0")
+	const gap = 4 * time.Second
+	w.demand(1, stock.Demand{ReportGap: gap})
+	w.run(time.Second)
+	w.published = 0
+	const seconds = 40
+	for n := range seconds * 20 {
+		w.running = n
+		w.run(50 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, w.published, seconds/4+1)
+	assert.GreaterOrEqual(t, w.published, seconds/4-1)
+	w.published = 0
+	w.demand(1, stock.Demand{ReportGap: gap, Wants: []stock.Want{w.want("m1")}})
+	w.run(200 * time.Millisecond)
+	assert.Positive(t, w.published, "the load is on its way")
+}
+
 func TestRouterThatLeftWantsNothing(t *testing.T) {
 	w := newWorld(t, "m0", "m1", "m2")
 	w.e.busy, w.e.doneAt = &Order{Operation: Load, Item: stock.Item{Model: "m0"}}, w.now.Add(time.Hour)
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -188,8 +188,8 @@
 // relaySettings are the figures that a router goes by.
 func relaySettings(cfg *config.Gate) relay.Settings {
 	return relay.Settings{
-		FailureDomain: string(cfg.Process.FailureDomain),
-		RetryRatio:    cfg.Retries.Ratio, RetryExtra: cfg.Retries.Extra, RetryWindow: cfg.Retries.Window,
+		Process: string(cfg.Process.ID), FailureDomain: string(cfg.Process.FailureDomain),
+		RetryRatio: cfg.Retries.Ratio, RetryExtra: cfg.Retries.Extra, RetryWindow: cfg.Retries.Window,
 	}
 }
 
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -123,7 +123,6 @@
 func (d *Daemon) SetMembers(list []relay.Member) {
 	d.known.Store(true)
 	d.loop.Post(relay.Members{List: list})
-	d.agents.follow(list)
 }
 
 // Ready says whether callers may be sent here.
@@ -178,6 +177,8 @@
 		x.d.tell(eff.ID, eff)
 	case relay.Deliver:
 		x.d.tell(eff.ID, eff)
+	case relay.Follow:
+		x.d.agents.follow(eff.List)
 	case relay.Ask:
 		x.d.agents.ask(eff)
 	case relay.Wait:
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -26,6 +26,7 @@
 				Model: u.Model, Adapter: u.Adapter, Running: uint32(u.Running), RateMilli: uint32(u.Rate * 1000), Holders: uint32(u.Holders),
 			}
 		}),
+		ReportGapMs: uint32(d.ReportGap.Milliseconds()),
 	}
 }
 
@@ -45,6 +46,7 @@
 				Holders: int(u.GetHolders()),
 			}
 		}),
+		ReportGap: time.Duration(d.GetReportGapMs()) * time.Millisecond,
 	}
 }
 
--- a/io/wire/stock_test.go
+++ b/io/wire/stock_test.go
@@ -37,7 +37,8 @@
 		Wants: []stock.Want{{
 			Item: stock.Item{Model: "m", Adapter: "a"}, Priority: 2, Deadline: now.Add(time.Second), Waiting: 4, Rate: 1.5,
 		}},
-		Uses: []stock.Use{{Model: "m", Running: 3, Rate: 0.25, Holders: 2}},
+		Uses:      []stock.Use{{Model: "m", Running: 3, Rate: 0.25, Holders: 2}},
+		ReportGap: 3200 * time.Millisecond,
 	}
 	assert.Equal(t, d, DecodeDemand(now, EncodeDemand(now, d)))
 }
