mirror: keep the pages of the list that have been read

Cause: everything is read anew after a start, page by page, within 1 s for all of them, and a failed page threw the others away.

Change: a page has 1 s, and a failed one is asked for again from where the read got to. Changes meanwhile come by the watch from the first page's revision, as before.

Before: with 1 s for all, TestReadsOnAfterFailedPages and TestPagesOfDifferentMoments fail. After: they pass.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -19,7 +19,7 @@
 var errRefresh = errors.New("everything is to be read again")
 
 const (
-	// readTime bounds one read.
+	// readTime bounds the read of one page.
 	readTime = time.Second
 	// retryFirst and retryMost are the pauses after failed calls.
 	retryFirst = 100 * time.Millisecond
@@ -39,11 +39,19 @@
 	Revision int64
 }
 
+// Page is a part of the keys under a prefix, in order.
+type Page struct {
+	Items []Item
+	// More says that others follow.
+	More bool
+	// Revision is one from which a watch misses no change after the page was read.
+	Revision int64
+}
+
 // Store is the platform's store.
 type Store interface {
-	// Range returns all keys under a prefix and a revision from which a watch
-	// misses no later change.
-	Range(ctx context.Context, prefix string) ([]Item, int64, error)
+	// Page returns the keys under a prefix that come after a key.
+	Page(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits for changes after the revision. It returns them and the revision
 	// to go on from; errors wrap ErrCompacted.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
@@ -73,6 +81,8 @@
 	// revisions are those of the keys in the image.
 	revisions map[string]int64
 	next      int64
+	// reading is a read of everything that is not complete; nil if there is none.
+	reading *reading
 	// refresh has everything read again.
 	refresh chan struct{}
 	// lostAt and backAt tell of the last outage.
@@ -80,6 +90,15 @@
 	known          bool
 }
 
+// reading is what has been read of everything: pages stay through failed calls, as
+// a store that all processes ask at once after a loss of power fails many.
+type reading struct {
+	items []Item
+	// revision is that of the first page: later ones are of other moments.
+	revision int64
+	after    string
+}
+
 // New returns an empty mirror.
 func New(opts Options) *Mirror {
 	return &Mirror{
@@ -175,12 +194,11 @@
 }
 
 func (m *Mirror) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
-	defer cancel()
-	items, next, err := m.opts.Store.Range(ctx, m.opts.Prefix)
-	if err != nil {
+	if err := m.readPages(ctx); err != nil {
 		return err
 	}
+	items, next := m.reading.items, m.reading.revision
+	m.reading = nil
 	m.back()
 	m.next = next
 	found := make(map[string]bool, len(items))
@@ -200,6 +218,33 @@
 	return nil
 }
 
+// readPages reads the pages that are missing.
+func (m *Mirror) readPages(ctx context.Context) error {
+	if m.reading == nil {
+		m.reading = &reading{}
+	}
+	for r := m.reading; ; {
+		page, err := m.readPage(ctx, r.after)
+		if err != nil {
+			return err
+		}
+		if r.revision == 0 {
+			r.revision = page.Revision
+		}
+		r.items = append(r.items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return nil
+		}
+		r.after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (m *Mirror) readPage(ctx context.Context, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	return m.opts.Store.Page(ctx, m.opts.Prefix, after)
+}
+
 // apply takes in changes and tells of them; it returns whether there were any.
 func (m *Mirror) apply(items []Item) bool {
 	now := time.Now()
