mirror: use the first pages of the list, and wait longer for slow ones

Cause: at 300 machines 107 routers read 3,000 entries each after a loss of all power, about 1 MB a router; a router that waits for all of it is not ready meanwhile, and a page that takes more than 1 s is thrown away and asked for again.

Change: while nothing is known, each page is taken in as it comes; a page has twice as long after each failure, up to 4 s; the pause after a failure starts small again when a page has come.

Before: TestFirstPageIsOfUse and TestSlowPages fail. After: they pass.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -19,8 +19,10 @@
 var errRefresh = errors.New("everything is to be read again")
 
 const (
-	// readTime bounds the read of one page.
+	// readTime bounds the read of one page, and twice as long after each failure up
+	// to readMost: a page that a busy store has sent in part is not thrown away.
 	readTime = time.Second
+	readMost = 4 * time.Second
 	// retryFirst and retryMost are the pauses after failed calls.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
@@ -97,6 +99,10 @@
 	// revision is that of the first page: later ones are of other moments.
 	revision int64
 	after    string
+	// within is the time for the next page, got says that one has come since the last
+	// failure.
+	within time.Duration
+	got    bool
 }
 
 // New returns an empty mirror.
@@ -130,6 +136,9 @@
 			return
 		}
 		m.lost(err)
+		if m.reading != nil && m.reading.got {
+			pause, m.reading.got = retryFirst, false
+		}
 		m.sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, retryMost)
 	}
@@ -221,13 +230,19 @@
 // readPages reads the pages that are missing.
 func (m *Mirror) readPages(ctx context.Context) error {
 	if m.reading == nil {
-		m.reading = &reading{}
+		m.reading = &reading{within: readTime}
 	}
 	for r := m.reading; ; {
-		page, err := m.readPage(ctx, r.after)
+		page, err := m.readPage(ctx, r)
 		if err != nil {
+			r.within = min(2*r.within, readMost)
 			return err
 		}
+		r.within, r.got = readTime, true
+		if !m.known {
+			// A part of the list is better than none: it may take long to read.
+			m.apply(page.Items)
+		}
 		if r.revision == 0 {
 			r.revision = page.Revision
 		}
@@ -239,10 +254,10 @@
 	}
 }
 
-func (m *Mirror) readPage(ctx context.Context, after string) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
+func (m *Mirror) readPage(ctx context.Context, r *reading) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.within)
 	defer cancel()
-	return m.opts.Store.Page(ctx, m.opts.Prefix, after)
+	return m.opts.Store.Page(ctx, m.opts.Prefix, r.after)
 }
 
 // apply takes in changes and tells of them; it returns whether there were any.
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -278,3 +278,35 @@
 		assert.Len(t, got, 29)
 	})
 }
+
+// TestFirstPageIsOfUse: what the first page holds is there before the last one.
+func TestFirstPageIsOfUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		for n := range 30 {
+			f.put(fmt.Sprintf("p/%02d", n), "1")
+		}
+		f.pageMost, f.pageTime = 10, 400*time.Millisecond
+		_, image := follow(t, f)
+		time.Sleep(500 * time.Millisecond)
+		assert.Len(t, image(), 10)
+		time.Sleep(time.Second)
+		assert.Len(t, image(), 30)
+	})
+}
+
+// TestSlowPages: pages that take longer than a second come all the same.
+func TestSlowPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		want := make(map[string]string)
+		for n := range 20 {
+			key := fmt.Sprintf("p/%02d", n)
+			f.put(key, "1")
+			want[key] = "1"
+		}
+		f.pageMost, f.pageTime = 10, 1500*time.Millisecond
+		_, image := follow(t, f)
+		eventually(t, want, image)
+	})
+}
