relay: spread over endpoints that are not followed; take in only what has changed

Causes: (1) holders whose load is not known cost all the same, so that all routers of a zone chose the first one; (2) a router that follows few agents hears late, or from nobody, that its watch has missed a change; (3) own requests since the last report counted as load until the next one, seconds later; (4) a router that has just started could have a second copy loaded before the agents of the holders had reported; (5) the places for a model were worked out anew for each change of the list.

Changes: (1) an order of each router's own among them; (2) four agents are followed whatever is asked for, and agents tell new routes at once; (3) between seldom reports load is others' at the last one and own now; (4) a request waits for holders that are about to be confirmed; (5) places are found on a ring of hashes, and only entries that have changed are taken in.

--- a/core/relay/bench_test.go
+++ b/core/relay/bench_test.go
@@ -111,3 +111,21 @@
 	allocs := testing.AllocsPerRun(200, func() { serveOne(s, now, 10) })
 	assert.LessOrEqual(t, allocs, 40.0, "objects for the decisions of one request")
 }
+
+// BenchmarkMembersAtTarget measures taking in the whole list with one entry changed,
+// and choosing the agents to follow again.
+func BenchmarkMembersAtTarget(b *testing.B) {
+	s, now := targetState(b)
+	list := make([]Member, 0, targetEndpoints)
+	for _, e := range s.endpoints {
+		m := e.Member
+		m.Stock = e.listed
+		list = append(list, m)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		m := &list[n%targetEndpoints]
+		m.Leaving = !m.Leaving
+		s.Apply(now, Members{List: list})
+	}
+}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -97,7 +97,7 @@
 		cost += crossDomain
 	}
 	if s.partial() && !e.hasAgent && e.HasModels {
-		cost += unseenCost
+		cost += unseenCost * (1 + e.rank)
 	}
 	if s.now.Before(e.avoidUntil) {
 		cost += avoidCost
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"chervilreach/core/stock"
@@ -43,8 +44,15 @@
 	// since counts attempts sent since the agent's last report and before that
 	// one, which the report may not tell of.
 	since, before int
-	failures      float64
-	avoidUntil    time.Time
+	// sparse says that reports come seldom; others is then how many requests of other
+	// routers the engine had at the last one.
+	sparse     bool
+	others     int
+	failures   float64
+	avoidUntil time.Time
+	// rank orders endpoints that are equal otherwise, from 0 to 1, in a way of this
+	// router's own.
+	rank float64
 	// speed is how fast prompts are read, in tokens per ms.
 	speed float64
 	// listed is what the list tells of the endpoint's models.
@@ -63,6 +71,13 @@
 	return m.Born != 0 && e.Born != 0 && m.Born != e.Born
 }
 
+// sameEntry says whether the platform's entry tells nothing new.
+func (e *endpoint) sameEntry(m Member) bool {
+	return e.Service == m.Service && e.Address == m.Address && e.FailureDomain == m.FailureDomain &&
+		e.Slots == m.Slots && e.Leaving == m.Leaving && e.HasModels == m.HasModels && e.Born == m.Born &&
+		slices.EqualFunc(e.listed.Models, m.Stock.Models, stock.Held.Equal) && e.listed.Copies.Equal(m.Stock.Copies)
+}
+
 // update takes in the platform's entry. An agent's report is newer than what
 // the entry says of models.
 func (e *endpoint) update(m Member) {
@@ -72,17 +87,20 @@
 		e.Stock = held
 		return
 	}
-	e.Stock.Copies = held.Copies
+	if m.Stock.Copies.None() {
+		e.Stock.Copies = held.Copies
+	}
 }
 
 func (e *endpoint) report(r stock.Report, now time.Time) {
 	e.reportedAt = now
-	if len(r.Copies.Disk) == 0 && len(r.Copies.Memory) == 0 {
+	if r.Copies.None() {
 		r.Copies = e.Stock.Copies
 	}
 	e.Stock = r
 	e.hasAgent = true
 	e.since, e.before = 0, e.since
+	e.others = max(r.Running+r.Waiting-e.running, 0)
 	if r.Leaving {
 		e.Leaving = true
 	}
@@ -146,5 +164,8 @@
 	if !e.hasAgent {
 		return e.running
 	}
+	if e.sparse {
+		return e.others + e.running
+	}
 	return max(e.Stock.Running+e.Stock.Waiting+e.since+e.before, e.running)
 }
--- a/core/relay/follow.go
+++ b/core/relay/follow.go
@@ -27,15 +27,19 @@
 	// while some fail.
 	followHolders = 8
 	followPlaces  = 4
+	// followAlways is how many agents are followed whatever is asked for: enough that
+	// one of them has the newest routes while others are cut off.
+	followAlways = 4
 	// nobodyHolds is the traffic in requests a second that a model counts for besides
 	// its own while nobody holds it: the place to load it must be found.
 	nobodyHolds = 1000.0
 	// reportsMost is how many reports a second the agents that a router follows are
 	// to send in all while nothing but load changes, in a fleet of more than
 	// followMost.
-	reportsMost = 16
-	// unseenCost is the cost of an endpoint whose agent is not followed, in ms: its
-	// load is not known.
+	reportsMost = 24
+	// unseenCost is the least cost of an endpoint whose agent is not followed, in ms,
+	// and twice that the most: its load is not known, so that routers must not all
+	// choose the same one.
 	unseenCost = 25.0
 	// connectTime is how long an agent may take to report after it is followed.
 	connectTime = 500 * time.Millisecond
@@ -96,15 +100,13 @@
 	return members
 }
 
-// unfollow forgets what an agent has reported, but for the copies beside its
-// endpoint: the list tells what that holds.
+// unfollow forgets what an agent has reported, but for copies beside its endpoint
+// that the list does not tell of.
 func (s *State) unfollow(e *endpoint) {
 	e.hasAgent, e.asked = false, stock.Demand{}
-	s.restock(e, func() {
-		copies := e.Stock.Copies
-		e.Stock = e.listed
-		e.Stock.Copies = copies
-	})
+	listed := e.Member
+	listed.Stock = e.listed
+	s.restock(e, func() { e.update(listed) })
 	s.forgetWants(e.Instance)
 }
 
@@ -118,7 +120,7 @@
 // are asked for a load, then those for the models that it is asked for, in
 // proportion to the requests.
 func (s *State) chosen() []*endpoint {
-	picks := s.asked()
+	picks := append(s.always(), s.asked()...)
 	for _, model := range slices.Sorted(maps.Keys(s.demand)) {
 		picks = append(picks, s.picksFor(model, s.demand[model])...)
 	}
@@ -135,6 +137,21 @@
 	return list
 }
 
+// always returns endpoints whose agents are followed whatever is asked for: routers
+// learn from agents of routes that their own watch has missed.
+func (s *State) always() []pick {
+	var picks []pick
+	for _, service := range slices.Sorted(maps.Keys(s.index.rings)) {
+		if s.table.Engine(service) == nil {
+			continue
+		}
+		for _, e := range s.index.after(service, s.cfg.Process, followAlways) {
+			picks = append(picks, pick{e, math.Inf(1)})
+		}
+	}
+	return picks
+}
+
 // asked returns the endpoints that were asked for loads.
 func (s *State) asked() []pick {
 	var instances []string
@@ -193,77 +210,40 @@
 // nearest returns holders of a model: those in the own failure domain first, in
 // an order of this router's own, so that routers share the holders.
 func (s *State) nearest(service, model string) []*endpoint {
-	type ranked struct {
-		e    *endpoint
-		far  bool
-		rank uint64
-	}
-	var list []ranked
-	for _, e := range s.candidates(service, model) {
-		if !e.Leaving {
-			rank := xxhash.Sum64String(s.cfg.Process + " " + e.Instance)
-			list = append(list, ranked{e, e.FailureDomain != s.cfg.FailureDomain, rank})
+	list := slices.DeleteFunc(slices.Clone(s.candidates(service, model)), func(e *endpoint) bool { return e.Leaving })
+	far := func(e *endpoint) float64 {
+		if e.FailureDomain != s.cfg.FailureDomain {
+			return 1 + e.rank
 		}
+		return e.rank
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.far != b.far {
-			return cmp.Compare(btoi(a.far), btoi(b.far))
-		}
-		return cmp.Compare(a.rank, b.rank)
-	})
-	out := make([]*endpoint, 0, followHolders)
-	for _, r := range list[:min(len(list), followHolders)] {
-		out = append(out, r.e)
-	}
-	return out
+	slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(far(a), far(b)) })
+	return list[:min(len(list), followHolders)]
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
+// rankOf returns where this router puts an endpoint among equal ones, from 0 to 1.
+func (s *State) rankOf(instance string) float64 {
+	return float64(xxhash.Sum64String(s.cfg.Process+" "+instance)) / math.MaxUint64
 }
 
 // placesOf returns the endpoints that are to load a model, the same at all routers
-// with the same list: those that held it last, as they have a copy, then by a
-// hash of model and endpoint.
+// with the same list: those that held it last, as they have a copy, then by a hash
+// of its name.
 func (s *State) placesOf(service, model string) []*endpoint {
-	key := holderKey{service, model}
 	var list []*endpoint
-	for _, id := range append(slices.Clone(s.index.former[key]), s.hashed(key)...) {
-		e := s.endpoint(id)
-		if e == nil || e.Leaving || slices.Contains(list, e) || e.Stock.Holds(stock.Item{Model: model}) {
-			continue
-		}
-		if list = append(list, e); len(list) == followPlaces {
-			break
+	for _, id := range s.index.former[holderKey{service, model}] {
+		if e := s.endpoint(id); e != nil {
+			list = append(list, e)
 		}
 	}
-	return list
-}
-
-// hashed returns the endpoints with the least hashes for a model, twice as many as
-// are followed. They are worked out once for each list of endpoints.
-func (s *State) hashed(key holderKey) []string {
-	if list, ok := s.index.hashed[key]; ok {
-		return list
-	}
-	type ranked struct {
-		instance string
-		rank     uint64
-	}
-	all := make([]ranked, 0, len(s.index.services[key.service]))
-	for _, e := range s.index.services[key.service] {
-		all = append(all, ranked{e.Instance, xxhash.Sum64String(e.Instance + " " + key.model)})
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	list := make([]string, 0, 2*followPlaces)
-	for _, r := range all[:min(len(all), 2*followPlaces)] {
-		list = append(list, r.instance)
+	list = append(list, s.index.after(service, model, 2*followPlaces)...)
+	places := make([]*endpoint, 0, followPlaces)
+	for _, e := range list {
+		if len(places) < followPlaces && !e.Leaving && !e.Stock.Holds(stock.Item{Model: model}) && !slices.Contains(places, e) {
+			places = append(places, e)
+		}
 	}
-	s.index.hashed[key] = list
-	return list
+	return places
 }
 
 // noteFirst has the agents for a model chosen at once that was not in use.
@@ -285,6 +265,14 @@
 	})
 }
 
+// unconfirmed says whether an endpoint that holds what a request needs by the list
+// is about to be confirmed. Where all agents are followed, its report tells more.
+func (s *State) unconfirmed(r *request) bool {
+	return s.partial() && slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
+		return !e.Leaving && e.Stock.Holds(r.Item) && !e.confirmed(s.now) && !slices.Contains(r.avoid, e.Instance)
+	})
+}
+
 // reportGap is the least time between two reports of one agent that tell only of
 // load; 0 leaves it to the agents.
 func (s *State) reportGap() time.Duration {
--- a/core/relay/index.go
+++ b/core/relay/index.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilreach/core/stock"
 )
 
@@ -19,14 +21,22 @@
 	holders  map[holderKey][]*endpoint
 	// former are the instances that held a model last, the latest first.
 	former map[holderKey][]string
-	// hashed are instances by a hash of model and instance, the least first.
-	hashed map[holderKey][]string
+	// rings are the endpoints of each service in the order of hashes of their names.
+	rings map[string][]ringed
+}
+
+// ringed is an endpoint with the hash of its name.
+type ringed struct {
+	hash uint64
+	e    *endpoint
 }
 
+func byHash(r ringed, hash uint64) int { return cmp.Compare(r.hash, hash) }
+
 func newIndex() index {
 	return index{
 		services: make(map[string][]*endpoint), holders: make(map[holderKey][]*endpoint),
-		former: make(map[holderKey][]string), hashed: make(map[holderKey][]string),
+		former: make(map[holderKey][]string), rings: make(map[string][]ringed),
 	}
 }
 
@@ -51,11 +61,35 @@
 func (x *index) add(e *endpoint) {
 	x.services[e.Service] = insert(x.services[e.Service], e)
 	x.hold(e, e.Stock.Models)
+	hash := xxhash.Sum64String(e.Instance)
+	ring := x.rings[e.Service]
+	i, _ := slices.BinarySearchFunc(ring, hash, byHash)
+	x.rings[e.Service] = slices.Insert(ring, i, ringed{hash, e})
 }
 
 func (x *index) drop(e *endpoint) {
 	x.services[e.Service] = remove(x.services[e.Service], e)
 	x.release(e, e.Stock.Models)
+	ring := x.rings[e.Service]
+	i, _ := slices.BinarySearchFunc(ring, xxhash.Sum64String(e.Instance), byHash)
+	for ; i < len(ring); i++ {
+		if ring[i].e == e {
+			x.rings[e.Service] = slices.Delete(ring, i, i+1)
+			return
+		}
+	}
+}
+
+// after returns up to so many endpoints of a service whose hashes follow that of a
+// key: few of them change when the list does.
+func (x *index) after(service, key string, most int) []*endpoint {
+	ring := x.rings[service]
+	first, _ := slices.BinarySearchFunc(ring, xxhash.Sum64String(key), byHash)
+	list := make([]*endpoint, 0, most)
+	for n := range min(most, len(ring)) {
+		list = append(list, ring[(first+n)%len(ring)].e)
+	}
+	return list
 }
 
 func (x *index) hold(e *endpoint, models []stock.Held) {
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -17,19 +17,10 @@
 	s.endpoints = s.endpoints[:0]
 	for _, m := range ev.List {
 		e := old[m.Instance]
-		var before []stock.Held
-		if e != nil {
-			before = e.Stock.Models
-			s.index.drop(e)
-		}
-		if e == nil || e.bornAgain(m) {
-			e = newEndpoint(m, s.now)
-			clear(s.index.hashed)
-		}
 		delete(old, m.Instance)
-		e.update(m)
-		s.index.add(e)
-		s.index.noteFormer(e, before)
+		if e == nil || !e.sameEntry(m) {
+			e = s.relist(e, m)
+		}
 		s.endpoints = append(s.endpoints, e)
 	}
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
@@ -38,13 +29,27 @@
 		old[id].Leaving = true
 		s.forgetWants(id)
 	}
-	if len(old) > 0 {
-		clear(s.index.hashed)
-	}
 	s.refollow = true
 	s.serveWaiting()
 }
 
+// relist takes in the entry of an endpoint that is new or has changed.
+func (s *State) relist(e *endpoint, m Member) *endpoint {
+	var before []stock.Held
+	if e != nil {
+		before = e.Stock.Models
+		s.index.drop(e)
+	}
+	if e == nil || e.bornAgain(m) {
+		e = newEndpoint(m, s.now)
+		e.rank = s.rankOf(m.Instance)
+	}
+	e.update(m)
+	s.index.add(e)
+	s.index.noteFormer(e, before)
+	return e
+}
+
 func (s *State) endpoint(instance string) *endpoint {
 	i, ok := slices.BinarySearchFunc(s.endpoints, instance, byInstance)
 	if !ok {
@@ -64,6 +69,7 @@
 	}
 	first := !e.hasAgent
 	s.restock(e, func() { e.report(ev.Report, s.now) })
+	e.sparse = s.partial()
 	s.budget.routers = s.routersSeen(ev.Report.Routers)
 	s.checkWants(e)
 	s.serveWaitingFor(e)
@@ -84,8 +90,8 @@
 	m := e.Member
 	m.Instance, m.Leaving, m.Born, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, stock.Report{}
 	next := newEndpoint(m, s.now)
+	next.rank = s.rankOf(m.Instance)
 	s.endpoints = insert(remove(s.endpoints, e), next)
-	clear(s.index.hashed)
 	if s.partial() {
 		s.followed[next.Instance] = s.followed[e.Instance]
 		delete(s.followed, e.Instance)
--- a/core/relay/places.go
+++ b/core/relay/places.go
@@ -23,13 +23,25 @@
 	unloadTime = 50 * time.Millisecond
 )
 
-// loadPlace chooses the endpoint that is to load an item.
+// loadPlace chooses the endpoint that is to load an item. In a large fleet a model's
+// own places come first, which all routers know.
 func (s *State) loadPlace(key wantKey, engine *route.Engine, tried []string) (*endpoint, time.Time) {
+	if s.partial() && key.item.Adapter == "" {
+		if e, at := s.bestPlace(s.placesOf(key.service, key.item.Model), key, engine, tried); e != nil {
+			return e, at
+		}
+	}
+	return s.bestPlace(s.index.services[key.service], key, engine, tried)
+}
+
+// bestPlace returns the endpoint of a list that would have loaded an item first, at
+// the least cost to others; nil if none may load it.
+func (s *State) bestPlace(list []*endpoint, key wantKey, engine *route.Engine, tried []string) (*endpoint, time.Time) {
 	var best *endpoint
 	var bestAt, least time.Time
 	onlyHolders := key.item.Adapter != "" && s.holderLives(key)
 	storeBusy := len(s.storeLoads(key.service)) >= storeLoadsMost
-	for _, e := range s.index.services[key.service] {
+	for _, e := range list {
 		if e.Leaving || e.Stock.Holds(key.item) || !e.hasAgent || slices.Contains(tried, e.Instance) {
 			continue
 		}
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -43,6 +43,9 @@
 		// All are full; their next request ends soon.
 		return s.now, ""
 	}
+	if s.unconfirmed(r) {
+		return s.now, ""
+	}
 	usable := slices.ContainsFunc(s.index.services[r.Service], func(e *endpoint) bool { return !e.Leaving })
 	if !usable || engine == nil || r.Item.Model == "" {
 		return time.Time{}, NoEndpoint
@@ -71,14 +74,15 @@
 		}
 		w.tried = append(w.tried, w.instance)
 	}
+	if s.connecting(key) {
+		s.emitWake(s.now.Add(connectTime))
+		return s.now.Add(engine.Models[key.item.Model].FromMemory), ""
+	}
 	e, readyAt := s.loadPlace(key, engine, w.tried)
 	if e == nil {
 		s.retarget(w, "")
 		w.tried = nil
 		s.forgive(r)
-		if s.connecting(key) {
-			return s.now.Add(engine.Models[key.item.Model].FromMemory), ""
-		}
 		if at := s.storeFreeAt(key, engine); !at.IsZero() {
 			return at, ""
 		}
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -22,6 +22,11 @@
 	Adapters []string
 }
 
+// Equal says whether two endpoints hold the same of a model.
+func (h Held) Equal(o Held) bool {
+	return h.Model == o.Model && h.Version == o.Version && slices.Equal(h.Adapters, o.Adapters)
+}
+
 // Load is one that is in progress or waits at an agent.
 type Load struct {
 	Item Item
@@ -34,6 +39,14 @@
 	Memory, Disk []string
 }
 
+// Equal says whether both are the same copies.
+func (c Copies) Equal(o Copies) bool {
+	return slices.Equal(c.Memory, o.Memory) && slices.Equal(c.Disk, o.Disk)
+}
+
+// None says that no copy is known.
+func (c Copies) None() bool { return len(c.Memory) == 0 && len(c.Disk) == 0 }
+
 // Report is the state of one model endpoint, as its agent sees it.
 type Report struct {
 	// Instance names the run of the endpoint.
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -234,7 +234,7 @@
 	old := &s.published
 	sinceLast := s.now.Sub(s.publishAt)
 	news := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
-		!slices.EqualFunc(r.Models, old.Models, sameHeld) || !slices.EqualFunc(r.Loads, old.Loads, sameLoad)
+		!slices.EqualFunc(r.Models, old.Models, stock.Held.Equal) || !slices.EqualFunc(r.Loads, old.Loads, sameLoad)
 	moved := r.Running != old.Running || r.Waiting != old.Waiting
 	pace := max(time.Duration(len(s.routers))*publishEach, s.reportGap())
 	if !news && (!moved || sinceLast < max(publishLoad, pace)) && sinceLast < max(publishIdle, pace) {
@@ -278,10 +278,6 @@
 	return draining || s.order != nil && s.order.Operation == Unload && s.order.Item == item
 }
 
-func sameHeld(a, b stock.Held) bool {
-	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
-}
-
 func sameLoad(a, b stock.Load) bool { return a.Item == b.Item }
 
 // heldUp says whether a load has to wait for requests to end: it is not promised
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -86,8 +86,14 @@
 // document that says so, which routers may ask for.
 func (d *Daemon) Adopt(e *route.Engine, version int64, document []byte) {
 	d.mu.Lock()
+	newer := version > d.version
 	d.version, d.document = version, document
+	latest := d.latest
 	d.mu.Unlock()
+	if newer && latest.Instance != "" {
+		// Every frame tells the version; routers whose watch has missed it need it soon.
+		d.publish(latest)
+	}
 	d.loop.Post(swap.Adopted{Engine: e})
 }
 
