relay: control traffic and copies within the users' bounds at the target size

Changes: to routers that ask for a report gap agents leave out what has not changed (20 bytes instead of up to 150; a message of its own flag, so that routers of the version before get the long form); of more than 64 agents 48 are followed; 10 demands a second while only traffic changes; one look at the fleet for the copies of all models.

--- a/core/relay/ask.go
+++ b/core/relay/ask.go
@@ -20,7 +20,7 @@
 // askAgents tells the agents what has changed in what is asked of them.
 func (s *State) askAgents() {
 	if !s.now.Before(s.refreshAt) {
-		s.refreshAt = s.now.Add(max(refreshTime, time.Duration(s.agentsFollowed())*refreshEach))
+		s.refreshAt = s.now.Add(s.refreshPause())
 		for _, e := range s.endpoints {
 			s.askAgent(e, true)
 		}
@@ -57,14 +57,6 @@
 	s.emit(Ask{Instance: e.Instance, Demand: demand})
 }
 
-// agentsFollowed returns how many agents the router is connected to, at most.
-func (s *State) agentsFollowed() int {
-	if s.partial() {
-		return len(s.followed)
-	}
-	return len(s.endpoints)
-}
-
 func (s *State) wantsOf(e *endpoint) []stock.Want {
 	var list []stock.Want
 	for _, w := range s.wants {
--- a/core/relay/follow.go
+++ b/core/relay/follow.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// followMost is how many agents a router follows: all of a fleet of so many,
-	// else those of the models that it is asked for. Pings and reports of so many
-	// stay within 3 KB/s.
-	followMost = 64
+	// followAll is up to how many agents all are followed, and followMost how many of
+	// more: pings, reports and demands of so many stay within 3 KB/s, the users'
+	// bound on a router's control traffic.
+	followAll  = 64
+	followMost = 48
 	// followTime is how often the choice is looked at again.
 	followTime = 2 * time.Second
 	// followLeast is the traffic from which the agents for a model are followed, in
@@ -35,8 +36,10 @@
 	nobodyHolds = 1000.0
 	// reportsMost is how many reports a second the agents that a router follows are
 	// to send in all while nothing but load changes, in a fleet of more than
-	// followMost.
-	reportsMost = 24
+	// followAll, and demandsMost how many demands a second it sends while nothing
+	// but traffic does.
+	reportsMost = 16
+	demandsMost = 10
 	// unseenCost is the least cost of an endpoint whose agent is not followed, in ms,
 	// and twice that the most: its load is not known, so that routers must not all
 	// choose the same one.
@@ -55,7 +58,7 @@
 	}
 	s.refollow, s.followAt = false, s.now.Add(followTime)
 	s.agents = countAgents(s.endpoints)
-	if s.agents <= followMost {
+	if s.agents <= followAll {
 		s.followed = nil
 		s.emit(Follow{List: membersOf(s.endpoints)})
 		return
@@ -282,6 +285,14 @@
 	return time.Duration(len(s.followed)) * time.Second / reportsMost
 }
 
+// refreshPause is the time between two looks at the traffic of all agents.
+func (s *State) refreshPause() time.Duration {
+	if s.partial() {
+		return max(refreshTime, time.Duration(len(s.followed))*time.Second/demandsMost)
+	}
+	return max(refreshTime, time.Duration(len(s.endpoints))*refreshEach)
+}
+
 // routersSeen returns how many routers there are, by what the agent of one endpoint
 // sees: of a large fleet each router follows a part.
 func (s *State) routersSeen(connected int) int {
--- a/core/relay/follow_test.go
+++ b/core/relay/follow_test.go
@@ -36,12 +36,12 @@
 	return lo.Map(only[Follow](w).List, func(m Member, _ int) string { return m.Instance })
 }
 
-// TestFollowAllOfSmallFleet: up to followMost agents are followed whole, as before
+// TestFollowAllOfSmallFleet: up to followAll agents are followed whole, as before
 // fleets were larger; plain services stay on the list.
 func TestFollowAllOfSmallFleet(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, append(fleetOf(followMost, holdsNothing), member("p-1", plain))...)
-	require.Len(t, w.followed(), followMost+1)
+	w := newWorld(t, append(fleetOf(followAll, holdsNothing), member("p-1", plain))...)
+	require.Len(t, w.followed(), followAll+1)
 	w.arrive(streamRoute(), stock.Item{Model: "a"})
 	require.Empty(t, effectsOf[Follow](w))
 }
--- a/core/relay/places.go
+++ b/core/relay/places.go
@@ -42,7 +42,7 @@
 	onlyHolders := key.item.Adapter != "" && s.holderLives(key)
 	storeBusy := len(s.storeLoads(key.service)) >= storeLoadsMost
 	for _, e := range list {
-		if e.Leaving || e.Stock.Holds(key.item) || !e.hasAgent || slices.Contains(tried, e.Instance) {
+		if !e.hasAgent || e.Leaving || e.Stock.Holds(key.item) || slices.Contains(tried, e.Instance) {
 			continue
 		}
 		if (onlyHolders || storeBusy && !loadsModel(e, key.item.Model)) && s.fromStore(e, key.item) {
--- a/core/relay/spread.go
+++ b/core/relay/spread.go
@@ -32,6 +32,7 @@
 		s.dirty[c.instance] = true
 	}
 	s.copies = s.copies[:0]
+	fleet := s.look()
 	for _, name := range slices.Sorted(maps.Keys(s.demand)) {
 		t := s.demand[name]
 		t.decay(s.now)
@@ -39,17 +40,45 @@
 		if engine == nil {
 			continue
 		}
-		s.addCopies(name, t, engine)
+		s.addCopies(name, t, engine, fleet)
 	}
 }
 
+// look is what one look at all endpoints tells about copies.
+type look struct {
+	// speed is how fast endpoints read prompts, in tokens per ms.
+	speed float64
+	// loading counts the endpoints that load an item.
+	loading map[wantKey]int
+}
+
+func (s *State) look() look {
+	l := look{speed: firstSpeed, loading: make(map[wantKey]int)}
+	sum, n := 0.0, 0
+	for _, e := range s.endpoints {
+		for _, one := range e.Stock.Loads {
+			if !e.Leaving {
+				l.loading[wantKey{e.Service, one.Item}]++
+			}
+		}
+		if e.hasAgent {
+			sum += e.speed
+			n++
+		}
+	}
+	if n > 0 {
+		l.speed = max(sum/float64(n), 1)
+	}
+	return l
+}
+
 // copyWant is a wish for one more copy of a model.
 type copyWant struct {
 	instance string
 	want     stock.Want
 }
 
-func (s *State) addCopies(name string, t *traffic, engine *route.Engine) {
+func (s *State) addCopies(name string, t *traffic, engine *route.Engine, fleet look) {
 	item := stock.Item{Model: name}
 	rate := max(t.rate, t.surge) * float64(s.budget.routers)
 	holders := s.holders(t.service, item)
@@ -58,13 +87,20 @@
 		return
 	}
 	t.first = firstCopy{}
+	had, needed := holders+fleet.loading[wantKey{t.service, item}], holdersFor(t, rate, fleet.speed)
+	if had >= needed {
+		return
+	}
 	var passed []string
 	for _, e := range s.endpoints {
+		if !e.hasAgent {
+			continue
+		}
 		if _, loading := e.Stock.Loading(item); loading || e.Stock.Holds(item) || !hasCopy(e, name) {
 			passed = append(passed, e.Instance)
 		}
 	}
-	for n := holders + s.loading(t.service, item); n < s.holdersFor(t, rate); n++ {
+	for n := had; n < needed; n++ {
 		e, _ := s.loadPlace(wantKey{t.service, item}, engine, passed)
 		if e == nil {
 			return
@@ -82,24 +118,10 @@
 	}})
 }
 
-// holdersFor returns how many endpoints the requests for a model keep busy.
-func (s *State) holdersFor(t *traffic, rate float64) int {
-	return int(math.Ceil(rate * t.tokens / s.speed() / 1000 / holderLoad))
-}
-
-// speed is how fast endpoints read prompts, in tokens per ms.
-func (s *State) speed() float64 {
-	sum, n := 0.0, 0
-	for _, e := range s.endpoints {
-		if e.hasAgent {
-			sum += e.speed
-			n++
-		}
-	}
-	if n == 0 {
-		return firstSpeed
-	}
-	return max(sum/float64(n), 1)
+// holdersFor returns how many endpoints that read prompts at a speed the requests
+// for a model keep busy.
+func holdersFor(t *traffic, rate, speed float64) int {
+	return int(math.Ceil(rate * t.tokens / speed / 1000 / holderLoad))
 }
 
 // loading returns how many endpoints load the item.
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -148,13 +149,16 @@
 		d.leave(id)
 		d.loop.Post(swap.Left{Router: id})
 	}()
-	go d.send(c, s, reports)
+	var brief atomic.Bool
+	go d.send(c, s, reports, &brief)
 	for f := first; f != nil; f = d.receive(s) {
 		body := f.GetDemand()
 		if body == nil {
 			return
 		}
-		d.loop.Post(swap.Demanded{Router: id, Demand: wire.DecodeDemand(time.Now(), body)})
+		demand := wire.DecodeDemand(time.Now(), body)
+		brief.Store(demand.ReportGap > 0)
+		d.loop.Post(swap.Demanded{Router: id, Demand: demand})
 		if version, _ := d.routes(); f.GetRevision() > version {
 			d.opts.Lagging(f.GetRevision())
 		}
@@ -196,7 +200,8 @@
 	return f
 }
 
-func (d *Daemon) send(c *wire.Conn, s *wire.Stream, reports <-chan stock.Report) {
+// send sends reports, in the brief form to a router that knows it.
+func (d *Daemon) send(c *wire.Conn, s *wire.Stream, reports <-chan stock.Report, brief *atomic.Bool) {
 	var last stock.Report
 	for {
 		select {
@@ -205,7 +210,11 @@
 		case <-s.Done():
 			return
 		case r := <-reports:
-			f := &wirepb.Frame{Body: &wirepb.Frame_Stock{Stock: wire.EncodeStock(time.Now(), r, last)}}
+			encode := wire.EncodeStock
+			if brief.Load() {
+				encode = wire.EncodeBriefStock
+			}
+			f := &wirepb.Frame{Body: &wirepb.Frame_Stock{Stock: encode(time.Now(), r, last)}}
 			if err := s.Send(f); err != nil {
 				// Reading the same stream fails too and reports the cause.
 				_ = c.Close()
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -65,16 +65,26 @@
 			}
 		}),
 	}
-	same := slices.Equal(r.Copies.Memory, last.Copies.Memory) && slices.Equal(r.Copies.Disk, last.Copies.Disk)
-	if !same || r.Instance != last.Instance {
+	if !r.Copies.Equal(last.Copies) || r.Instance != last.Instance {
 		s.Copied = &wirepb.Copied{Memory: r.Copies.Memory, Disk: r.Copies.Disk}
 	}
 	return s
 }
 
-// DecodeStock reads a report; times are on the receiver's clock. The copies are
-// those of last where the message leaves them out. An address that can't be read
-// is the invalid one.
+// EncodeBriefStock writes a report without what has not changed since last, if
+// nothing but load and loads has.
+func EncodeBriefStock(now time.Time, r, last stock.Report) *wirepb.Stock {
+	s := EncodeStock(now, r, last)
+	same := r.Instance == last.Instance && r.Address == last.Address && r.KVTotal == last.KVTotal &&
+		slices.EqualFunc(r.Models, last.Models, stock.Held.Equal) && s.Copied == nil
+	if same {
+		s.AsBefore, s.Instance, s.Address, s.KvTotal, s.Models = true, "", "", 0, nil
+	}
+	return s
+}
+
+// DecodeStock reads a report; times are on the receiver's clock. What the message
+// leaves out is as in last. An address that can't be read is the invalid one.
 func DecodeStock(now time.Time, s *wirepb.Stock, last stock.Report) stock.Report {
 	addr, err := netip.ParseAddrPort(s.GetAddress())
 	if err != nil {
@@ -96,6 +106,9 @@
 	if c := s.GetCopied(); c != nil {
 		r.Copies = stock.Copies{Memory: c.GetMemory(), Disk: c.GetDisk()}
 	}
+	if s.GetAsBefore() {
+		r.Instance, r.Address, r.KVTotal, r.Models = last.Instance, last.Address, last.KVTotal, last.Models
+	}
 	return r
 }
 
--- a/io/wire/stock_test.go
+++ b/io/wire/stock_test.go
@@ -31,6 +31,31 @@
 	assert.Equal(t, later.Add(1500*time.Millisecond), got.Loads[0].ReadyAt, "times are on the receiver's clock")
 }
 
+func TestBriefStockComesBack(t *testing.T) {
+	now := time.UnixMilli(5_000_000)
+	last := stock.Report{
+		Instance: "i-1", Address: netip.MustParseAddrPort("10.0.0.1:80"), KVTotal: 200,
+		Models: []stock.Held{{Model: "m", Version: 2, Adapters: []string{"a1"}}}, Loads: []stock.Load{},
+		Copies: stock.Copies{Disk: []string{"m", "n"}},
+	}
+	for name, change := range map[string]func(r *stock.Report){
+		"load":     func(r *stock.Report) { r.Running, r.Waiting, r.KVUsed, r.Routers = 3, 2, 100, 4 },
+		"leaving":  func(r *stock.Report) { r.Leaving = true },
+		"models":   func(r *stock.Report) { r.Models = []stock.Held{} },
+		"adapter":  func(r *stock.Report) { r.Models = []stock.Held{{Model: "m", Version: 2, Adapters: []string{"a2"}}} },
+		"copies":   func(r *stock.Report) { r.Copies = stock.Copies{Memory: []string{"m"}} },
+		"instance": func(r *stock.Report) { r.Instance = "i-2" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := last
+			change(&r)
+			m := EncodeBriefStock(now, r, last)
+			assert.Equal(t, name == "load" || name == "leaving", m.GetAsBefore())
+			assert.Equal(t, r, DecodeStock(now, m, last))
+		})
+	}
+}
+
 func TestDemandComesBack(t *testing.T) {
 	now := time.UnixMilli(5_000_000)
 	d := stock.Demand{
@@ -55,4 +80,5 @@
 		Copies: stock.Copies{Disk: make([]string, 20)},
 	}
 	assert.LessOrEqual(t, proto.Size(EncodeStock(time.Now(), r, r)), 150)
+	assert.LessOrEqual(t, proto.Size(EncodeBriefStock(time.Now(), r, r)), 20)
 }
