--- a/io/relayd/control_test.go
+++ b/io/relayd/control_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,6 +39,7 @@
 	followed map[string]time.Time
 	gap      time.Duration
 	held     map[string][]stock.Held
+	rng      *rand.Rand
 }
 
 func (g *target) apply(ev event.Event) {
@@ -61,13 +64,14 @@
 
 // report has the agents report whose turn it is.
 func (g *target) report() {
-	for id, at := range g.followed {
+	for _, id := range slices.Sorted(maps.Keys(g.followed)) {
+		at := g.followed[id]
 		if g.now.Before(at.Add(g.gap)) {
 			continue
 		}
 		g.followed[id] = g.now
 		r := stock.Report{
-			Instance: id, Address: netip.MustParseAddrPort("10.1.2.3:8000"), Running: rand.IntN(40), KVUsed: rand.IntN(100_000),
+			Instance: id, Address: netip.MustParseAddrPort("10.1.2.3:8000"), Running: g.rng.IntN(40), KVUsed: g.rng.IntN(100_000),
 			KVTotal: 133_000, Models: g.held[id], Routers: 4,
 		}
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Stock{Stock: wire.EncodeBriefStock(g.now, r, r)}}
@@ -91,7 +95,8 @@
 	}
 	g := &target{
 		now: time.UnixMilli(1_000_000), followed: map[string]time.Time{}, held: make(map[string][]stock.Held),
-		s: relay.New(relay.Settings{Process: "relay-1", FailureDomain: "d0", RetryRatio: 0.1, RetryExtra: 10, RetryWindow: 10 * time.Second}),
+		rng: rand.New(rand.NewPCG(1, 2)),
+		s:   relay.New(relay.Settings{Process: "relay-1", FailureDomain: "d0", RetryRatio: 0.1, RetryExtra: 10, RetryWindow: 10 * time.Second}),
 	}
 	g.apply(relay.Adopted{Table: route.New(1, route.Limits{}, nil, []*route.Service{{Name: "llm", Engine: engine}})})
 	list := make([]relay.Member, 0, endpoints)
@@ -113,7 +118,7 @@
 			g.now = g.now.Add(time.Second / perSecond)
 			id := relay.RequestID(g.now.UnixNano())
 			// A few models have most of the requests.
-			model := int(rand.ExpFloat64() * models / 8)
+			model := int(g.rng.ExpFloat64() * models / 8)
 			g.apply(relay.Arrive{ID: id, Request: relay.Request{
 				Attempt: fmt.Sprint(n), Route: rt, Service: "llm", TokensIn: 400, TokensOut: 100,
 				Item: stock.Item{Model: fmt.Sprintf("model%06d", model%models)}, Deadline: g.now.Add(rt.Timeout), LastEvent: relay.NoEvent,
