relay: break off attempts at endpoints that others have taken the place of

The route allows one attempt; without another one the router set no bound on silence, and the caller left after 16 s without a word, although the endpoint had long started again under another name and the router knew.

Change: when the agent reports another instance in an endpoint's place, the list has another one at its address, or the same one was born again, the attempts at the old one are broken off. What may be repeated goes elsewhere, the rest is answered at once as perhaps run. An endpoint that only leaves the list may go on serving and keeps its requests.

Ruled out: a bound on silence alone, which would cut off slow endpoints.

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -120,6 +120,20 @@
 // Routine implements event.Routine.
 func (Deliver) Routine() {}
 
+// BreakOff ends an attempt whose endpoint is gone, though its connection has not
+// ended. The attempt ends as broken.
+type BreakOff struct {
+	ID RequestID
+	// Try is the number of the attempt.
+	Try int
+}
+
+// Kind implements event.Effect.
+func (BreakOff) Kind() string { return "relay-break-off" }
+
+// Routine implements event.Routine.
+func (BreakOff) Routine() {}
+
 // Follow has the router connected to the agents of these endpoints, and to no
 // others.
 type Follow struct {
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -28,11 +28,25 @@
 		s.index.drop(old[id])
 		old[id].Leaving = true
 		s.forgetWants(id)
+		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
+			s.breakOff(old[id])
+		}
 	}
 	s.refollow = true
 	s.serveWaiting()
 }
 
+// breakOff ends the attempts at an endpoint that another one has taken the place of:
+// its answers won't come, and a connection to a host that went dark does not end.
+func (s *State) breakOff(e *endpoint) {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		if r := s.requests[id]; r.at == e {
+			s.count("attempts.broken-off")
+			s.emit(BreakOff{ID: id, Try: r.tries})
+		}
+	}
+}
+
 // relist takes in the entry of an endpoint that is new or has changed.
 func (s *State) relist(e *endpoint, m Member) *endpoint {
 	var before []stock.Held
@@ -40,7 +54,11 @@
 		before = e.Stock.Models
 		s.index.drop(e)
 	}
-	if e == nil || e.bornAgain(m) {
+	if e != nil && e.bornAgain(m) {
+		s.breakOff(e)
+		e = nil
+	}
+	if e == nil {
 		e = newEndpoint(m, s.now)
 		e.rank = s.rankOf(m.Instance)
 	}
@@ -87,6 +105,7 @@
 	s.index.drop(e)
 	e.Leaving = true
 	s.forgetWants(e.Instance)
+	s.breakOff(e)
 	m := e.Member
 	m.Instance, m.Leaving, m.Born, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, stock.Report{}
 	next := newEndpoint(m, s.now)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -412,3 +413,40 @@
 		})
 	}
 }
+
+// TestGoneEndpointIsNotWaitedFor: when another endpoint has taken the place of one,
+// its attempts are broken off, also where they can't be repeated: a host that goes
+// dark ends no connection, and callers would wait until they leave (kht-gecis
+// hunt-321c-19).
+func TestGoneEndpointIsNotWaitedFor(t *testing.T) {
+	again := member("new", llm)
+	other := member("other", llm)
+	other.Address = netip.MustParseAddrPort("10.0.0.9:80")
+	for name, test := range map[string]struct {
+		tell   func(w *world)
+		broken bool
+	}{
+		"its agent reports another": {func(w *world) {
+			w.apply(Renamed{From: "old", Report: stock.Report{Instance: "new", KVTotal: 130_000, Routers: 1}})
+		}, true},
+		"the list has another at its address": {func(w *world) { w.setMembers(again) }, true},
+		"it has left the list":                {func(w *world) { w.setMembers(other) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, member("old", llm))
+			w.report("old", holding("a"))
+			rt := streamRoute()
+			rt.MaxAttempts = 1
+			id := w.arrive(rt, stock.Item{Model: "a"})
+			require.Equal(t, "old", only[Send](w).Instance)
+			test.tell(w)
+			if !test.broken {
+				require.Empty(t, effectsOf[BreakOff](w), "it may go on serving")
+				return
+			}
+			require.Equal(t, BreakOff{ID: id, Try: 1}, only[BreakOff](w))
+			w.ended(id, Broken)
+			require.Equal(t, Fail{ID: id, Reason: AllFailed}, only[Fail](w))
+		})
+	}
+}
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -177,6 +177,8 @@
 		x.d.tell(eff.ID, eff)
 	case relay.Deliver:
 		x.d.tell(eff.ID, eff)
+	case relay.BreakOff:
+		x.d.breakOff(eff)
 	case relay.Follow:
 		x.d.agents.follow(eff.List)
 	case relay.Ask:
@@ -197,6 +199,16 @@
 	x.commands <- eff
 }
 
+// breakOff ends an attempt that is still in progress.
+func (d *Daemon) breakOff(eff relay.BreakOff) {
+	d.mu.Lock()
+	x := d.exchanges[eff.ID]
+	d.mu.Unlock()
+	if x != nil {
+		x.breakOff(eff.Try)
+	}
+}
+
 func (d *Daemon) open(x *exchange) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"chervilreach/core/relay"
@@ -57,6 +58,13 @@
 	version int64
 	// failure is the endpoint's own failure of the last attempt.
 	failure *wholeAnswer
+
+	mu sync.Mutex
+	// conn is the connection of attempt number try, nil between attempts; broken says
+	// that it was broken off.
+	conn   *conns.Conn
+	try    int
+	broken bool
 }
 
 // wholeAnswer is an answer that has been read to its end.
@@ -187,8 +195,10 @@
 	}
 	stop := context.AfterFunc(ctx, c.Abort)
 	defer context.AfterFunc(x.d.aborted, c.Abort)()
+	x.use(c, send.Try)
 	keep, err := x.converse(c, send, ended)
-	if stop() && keep != (conns.Keep{}) {
+	broken := x.release()
+	if stop() && !broken && keep != (conns.Keep{}) {
 		x.d.pool.Put(c, keep)
 		return err
 	}
@@ -196,6 +206,32 @@
 	return err
 }
 
+// use notes the connection of an attempt.
+func (x *exchange) use(c *conns.Conn, try int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn, x.try, x.broken = c, try, false
+}
+
+// release forgets the attempt's connection and says whether it was broken off.
+func (x *exchange) release() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = nil
+	return x.broken
+}
+
+// breakOff ends an attempt if it is the one in progress.
+func (x *exchange) breakOff(try int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.conn == nil || x.try != try {
+		return
+	}
+	x.broken = true
+	x.conn.Abort()
+}
+
 // converse sends the request on a connection and passes on the answer. It
 // returns for how long the connection may be kept.
 func (x *exchange) converse(c *conns.Conn, send relay.Send, ended *relay.Ended) (conns.Keep, error) {
