--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -416,8 +416,7 @@
 
 // TestGoneEndpointIsNotWaitedFor: when another endpoint has taken the place of one,
 // its attempts are broken off, also where they can't be repeated: a host that goes
-// dark ends no connection, and callers would wait until they leave (kht-gecis
-// hunt-321c-19).
+// dark ends no connection, and callers would wait until they leave.
 func TestGoneEndpointIsNotWaitedFor(t *testing.T) {
 	again := member("new", llm)
 	other := member("other", llm)
