relayd: name the requests that the end of a process leaves without an answer

A router that stopped with requests in progress wrote how many there were and not which, so that a waiting request, one at an endpoint and one whose answer was being written could not be told apart afterwards. Each now has a line with the outcome unanswered; the wait or send line before it says where it was.

--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -237,6 +237,7 @@
 	if err := r.calls.Shutdown(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.InProgress()).Msg("stopped with requests in progress")
 		r.breakOff()
+		r.daemon.LogUnanswered()
 		return fmt.Errorf("finish requests: %w", err)
 	}
 	r.log.Info().Msg("stopped")
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -75,9 +75,9 @@
 
 // run carries out commands until the request has its final answer.
 func (x *exchange) run(ctx context.Context) {
+	x.arrivedAt = time.Now()
 	x.d.open(x)
 	defer x.d.close(x)
-	x.arrivedAt = time.Now()
 	x.d.loop.Post(relay.Arrive{ID: x.id, Request: x.request})
 	for {
 		select {
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -16,6 +16,16 @@
 		Str("outcome", outcome).Str("why", why).Msg("request")
 }
 
+// LogUnanswered writes which requests have no final answer. It is to be called when
+// the process ends.
+func (d *Daemon) LogUnanswered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, x := range d.exchanges {
+		x.log("unanswered", string(relay.Stopping))
+	}
+}
+
 // logSend writes which endpoint was chosen and by what.
 func (x *exchange) logSend(send relay.Send) {
 	e := x.d.log.Info().Str("request", x.request.Attempt).Str("route", x.route.Name).Int("try", send.Try).
