relay: end the process after its last answers have been written

Callers could see their connection closed without an answer at the end of a stop although the router had one for them. Cause: the wait for the last answers counted the requests that the daemon knew, which forgets a request when its handler has an answer and before the server has written it; the process could end in between. Class: an end that waits for the decision and not for its effect.

Stop now waits for the server, which counts a connection until its answer has been written.

--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -40,10 +40,8 @@
 	linesPerSecond = 400
 	// stopMargin is left of the time for stopping when requests are broken off.
 	stopMargin = 300 * time.Millisecond
-	// breakOffTime bounds, within stopMargin, how long the last answers may take,
-	// and breakOffPoll is how often that is looked at.
+	// breakOffTime bounds, within stopMargin, how long the last answers may take.
 	breakOffTime = 200 * time.Millisecond
-	breakOffPoll = 5 * time.Millisecond
 )
 
 var errNotReady = errors.New("routes or endpoints are not known yet, or the process is leaving")
@@ -237,19 +235,21 @@
 	if err := r.calls.Shutdown(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.InProgress()).Msg("stopped with requests in progress")
 		r.breakOff()
-		r.daemon.LogUnanswered()
 		return fmt.Errorf("finish requests: %w", err)
 	}
 	r.log.Info().Msg("stopped")
 	return nil
 }
 
-// breakOff gives the requests that are still in progress their final answers.
+// breakOff gives the requests that are still in progress their final answers, and
+// waits until these are written.
 func (r *Relay) breakOff() {
 	r.daemon.Abort()
-	end := time.Now().Add(breakOffTime)
-	for r.daemon.InProgress() > 0 && time.Now().Before(end) {
-		time.Sleep(breakOffPoll)
+	ctx, cancel := context.WithTimeout(context.Background(), breakOffTime)
+	defer cancel()
+	if err := r.calls.Shutdown(ctx); err != nil {
+		r.log.Error().Err(err).Msg("stopped before all answers were written")
+		r.daemon.LogUnanswered()
 	}
 }
 
