relayd: break off connecting when attempts are broken off

A caller whose request was being sent to an endpoint that took no connection saw its own connection closed without an answer if its router stopped in that moment. Cause: breaking off closed the connections of attempts, and an attempt that was still connecting had none; connecting takes up to 500 ms, the end leaves 200 ms.

Evidence: TestStoppingRouterAnswersRequestThatIsBeingSent failed before (answer after 501 ms, 200 allowed) and passes (3 of 3, with the race detector): the request has not been sent and is refused as such.

--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -189,7 +190,7 @@
 	if send.Once {
 		idle = onceIdle
 	}
-	c, err := x.d.pool.Get(ctx, send.Address, idle)
+	c, err := x.connect(ctx, send.Address, idle)
 	if err != nil {
 		return err
 	}
@@ -206,6 +207,15 @@
 	return err
 }
 
+// connect returns a connection to an endpoint, or an error when attempts are
+// broken off.
+func (x *exchange) connect(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*conns.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(x.d.aborted, cancel)()
+	return x.d.pool.Get(ctx, addr, maxIdle)
+}
+
 // use notes the connection of an attempt.
 func (x *exchange) use(c *conns.Conn, try int) {
 	x.mu.Lock()
