relay: begin no stream late in a stop

A stream that a router begins to send in the second half of its stop is cut off when the process ends, where another router would pass it on whole. Waiting requests were refused from then on, others were sent: those that come late on an open connection, and those that an endpoint has turned away. A stream that has not run is now refused at once with a Retry-After of now; short answers, and streams that have begun, are sent as before.

Evidence: TestStoppingRouterBeginsNoLateStream/stream failed before (sent 5 s into a stop of 8) and passes; TestStoppingRouterResumesStreams holds before and after.

--- a/core/relay/leave.go
+++ b/core/relay/leave.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"chervilreach/core/route"
+)
 
 // sendShare is the part of the time for stopping in which waiting requests are
 // still sent; the rest is for their answers, which take seconds as streams.
@@ -16,6 +20,17 @@
 	s.serveWaiting()
 }
 
+// timeIsOver says whether the time for stopping is over.
+func (s *State) timeIsOver() bool {
+	return !s.endBy.IsZero() && !s.now.Before(s.endBy)
+}
+
+// beginsTooLate says whether the answer to a request that has not run yet is likely
+// to be cut off, so that another router had better send it.
+func (s *State) beginsTooLate(r *request) bool {
+	return r.Route.Kind == route.Stream && r.ran == 0 && !r.answering && s.tooLateToSend(s.now)
+}
+
 // tooLateToSend says whether a request that is sent then may be cut off.
 func (s *State) tooLateToSend(at time.Time) bool {
 	return !s.sendBy.IsZero() && !at.Before(s.sendBy)
--- a/core/relay/leave_test.go
+++ b/core/relay/leave_test.go
@@ -89,3 +89,47 @@
 	w.arrive(streamRoute(), modelA)
 	assert.Equal(t, first.ReadyAt, only[Wait](w).ReadyAt)
 }
+
+// A stream that a router begins to send late in its stop would be cut off there, and
+// another router passes it on whole; short answers still end in time.
+func TestStoppingRouterBeginsNoLateStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		item    stock.Item
+		rt      *route.Route
+		refused bool
+	}{
+		"stream":       {modelA, streamRoute(), true},
+		"short answer": {stock.Item{}, plainRoute(route.Unsafe), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, member("e1", llm), member("e2", plain))
+			w.report("e1", holding("a"))
+			w.apply(Leaving{By: w.now.Add(8 * time.Second)})
+			w.pass(5 * time.Second)
+			w.report("e1", holding("a"))
+			id := w.arrive(c.rt, c.item)
+			if !c.refused {
+				assert.Equal(t, id, only[Send](w).ID)
+				return
+			}
+			refused := only[Refuse](w)
+			assert.Equal(t, Stopping, refused.Reason)
+			assert.Equal(t, w.now, refused.RetryAt)
+		})
+	}
+}
+
+// A stream that has begun is resumed at another endpoint also late in a stop.
+func TestStoppingRouterResumesStreams(t *testing.T) {
+	w := newWorld(t, member("e1", llm), member("e2", llm))
+	w.report("e1", holding("a"))
+	w.report("e2", holding("a"))
+	id := w.arrive(streamRoute(), modelA)
+	sent := only[Send](w)
+	w.apply(Leaving{By: w.now.Add(8 * time.Second)})
+	w.pass(5 * time.Second)
+	w.apply(Ended{ID: id, Result: Broken, LastEvent: 3, Answering: true})
+	resumed := only[Send](w)
+	assert.Equal(t, id, resumed.ID)
+	assert.NotEqual(t, sent.Instance, resumed.Instance)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -152,7 +152,7 @@
 		s.expire(r)
 		return
 	}
-	if !s.endBy.IsZero() && !s.now.Before(s.endBy) {
+	if s.timeIsOver() || s.beginsTooLate(r) {
 		s.refuse(r, Stopping, s.now)
 		return
 	}
