soak: stop routers while models load; check that each request gets an answer

Callers of a third of the streams now wait 12 s, a series of its own stops routers while loads take 10 s, and a whole request is owed an answer unless its router was killed or it crossed the closing of open connections. The other series draw as before.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -16,8 +18,12 @@
 )
 
 const (
-	// callTime is the patience of a caller.
-	callTime = 4 * time.Second
+	// callTime is the patience of a caller, patientTime that of one which may wait for
+	// longer than a router takes to stop.
+	callTime    = 4 * time.Second
+	patientTime = 12 * time.Second
+	// patientShare is one in how many streams has a patient caller.
+	patientShare = 3
 	// thinkTime is the pause of a caller between two requests.
 	thinkTime = 20 * time.Millisecond
 )
@@ -25,7 +31,10 @@
 // outcome is what a caller has seen of one request.
 type outcome struct {
 	attempt, path, router string
-	sentAt, endedAt       time.Time
+	// openedAt is when the caller's connection was made.
+	openedAt, sentAt, endedAt time.Time
+	// sent says that the whole request has been written.
+	sent bool
 	// status is 0 without an answer.
 	status int
 	body   string
@@ -55,7 +64,7 @@
 }
 
 // run is one caller: it uses a connection as long as it can.
-func (c *callers) run(ctx context.Context, n int, rnd *rand.Rand) {
+func (c *callers) run(ctx context.Context, n int, rnd, patient *rand.Rand) {
 	var conn *callerConn
 	defer func() { conn.close() }()
 	for i := 0; ctx.Err() == nil; i++ {
@@ -68,7 +77,11 @@
 			time.Sleep(thinkTime)
 			continue
 		}
-		o := conn.call(fmt.Sprintf("c%d-%d", n, i), c.pick(rnd))
+		what := c.pick(rnd)
+		if what[0] == mock.Draft && patient.IntN(patientShare) == 0 {
+			what[0] = mock.Patient
+		}
+		o := conn.call(fmt.Sprintf("c%d-%d", n, i), what)
 		c.note(o)
 		if !o.whole || conn.ended {
 			conn.close()
@@ -95,8 +108,9 @@
 // callerConn is a caller's open connection to one router.
 type callerConn struct {
 	net.Conn
-	r      *bufio.Reader
-	router string
+	r        *bufio.Reader
+	router   string
+	openedAt time.Time
 	// ended says that the router closes it.
 	ended bool
 }
@@ -107,7 +121,7 @@
 	if err != nil {
 		return nil
 	}
-	return &callerConn{Conn: c, r: bufio.NewReader(c), router: p.name}
+	return &callerConn{Conn: c, r: bufio.NewReader(c), router: p.name, openedAt: time.Now()}
 }
 
 func (c *callerConn) close() {
@@ -117,20 +131,21 @@
 }
 
 func (c *callerConn) call(attempt string, what [2]string) outcome {
-	o := outcome{attempt: attempt, path: what[0], router: c.router, sentAt: time.Now()}
-	defer func() { o.endedAt = time.Now() }()
+	o := outcome{attempt: attempt, path: what[0], router: c.router, openedAt: c.openedAt, sentAt: time.Now()}
 	o.err = c.exchange(&o, what[1])
 	o.endedAt = time.Now()
 	return o
 }
 
 func (c *callerConn) exchange(o *outcome, model string) error {
-	if err := c.SetDeadline(time.Now().Add(callTime + time.Second)); err != nil {
+	patience := o.patience()
+	if err := c.SetDeadline(time.Now().Add(patience + time.Second)); err != nil {
 		return err
 	}
-	if _, err := io.WriteString(c, mock.Call(o.path, o.attempt, model, callTime)); err != nil {
+	if _, err := io.WriteString(c, mock.Call(o.path, o.attempt, model, patience)); err != nil {
 		return err
 	}
+	o.sent = true
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return err
@@ -142,6 +157,20 @@
 	return err
 }
 
+// patience is how long the caller waits.
+func (o *outcome) patience() time.Duration {
+	if o.path == mock.Patient {
+		return patientTime
+	}
+	return callTime
+}
+
+// closed says that the router ended the connection of a whole request without any
+// answer.
+func (o *outcome) closed() bool {
+	return o.sent && o.status == 0 && !errors.Is(o.err, os.ErrDeadlineExceeded)
+}
+
 // fault returns what is wrong with a successful answer; empty if nothing is.
 func (o *outcome) fault(events int) string {
 	if o.status != http.StatusOK {
@@ -151,7 +180,7 @@
 		return "success with the seal " + o.seal
 	}
 	want := mock.Body(o.attempt)
-	if o.path == mock.Draft {
+	if o.path == mock.Draft || o.path == mock.Patient {
 		var b strings.Builder
 		for id := range events {
 			b.WriteString(mock.Event(o.attempt, id))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -18,6 +18,13 @@
 	bornTime = 200 * time.Millisecond
 	// leaveTime is how long a replica that drains goes on serving.
 	leaveTime = 4 * time.Second
+	// loadTime is how long loads take, slowLoadTime while they are slow: longer than a
+	// router takes to stop.
+	loadTime     = 300 * time.Millisecond
+	slowLoadTime = 10 * time.Second
+	// answerTime is how long a router that stops answers what comes on open
+	// connections, which it says with its answers before it closes them.
+	answerTime = 2500 * time.Millisecond
 )
 
 // fault is one thing that is done to a fleet; it returns when it is undone.
@@ -107,6 +114,26 @@
 	}},
 }
 
+// stopWhileLoading stops one router after the other while loads take longer than the
+// stop, so that requests wait for them. It is a series of its own.
+func (s *soaker) stopWhileLoading(ctx context.Context, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		s.setLoadTime(slowLoadTime)
+		sleep(ctx, span(rnd))
+		if err := pick(rnd, s.f.routers).restart(s.f.bin, syscall.SIGTERM, stopTime); err != nil {
+			s.breach("router stopped while models load: %v", err)
+		}
+		s.setLoadTime(loadTime)
+		sleep(ctx, span(rnd))
+	}
+}
+
+func (s *soaker) setLoadTime(d time.Duration) {
+	for _, r := range s.f.replicas {
+		r.SetLoadTime(d)
+	}
+}
+
 func pick[T any](rnd *rand.Rand, list []T) T { return list[rnd.IntN(len(list))] }
 
 func anyMode(rnd *rand.Rand) Mode { return []Mode{Slow, Hush, Dark, OneWay, Reset}[rnd.IntN(5)] }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +53,15 @@
 	crashes int
 	// failure is how the last of them ended.
 	failure error
+	lives   []life
+}
+
+// life is the time from a start of a program to its end.
+type life struct {
+	startedAt time.Time
+	// stoppedAt and killedAt are when it was told to stop and when it was killed; zero
+	// if it was not.
+	stoppedAt, killedAt time.Time
 }
 
 // replica is a replica with the proxy before it.
@@ -111,7 +121,7 @@
 		ip := next()
 		spec := mock.Spec{
 			Service: mock.Models, Zone: zone(i), Slots: 16, Work: 8 * time.Millisecond, Events: streamEvents,
-			LoadTime: 300 * time.Millisecond, Room: 2, Disk: f.models,
+			LoadTime: loadTime, Room: 2, Disk: f.models,
 			Models: []string{f.models[i%len(f.models)], f.models[(i+1)%len(f.models)]},
 		}
 		r, err := f.addReplica(ctx, ip, spec)
@@ -134,6 +144,12 @@
 	return f, nil
 }
 
+// router returns the router with a name.
+func (f *fleet) router(name string) *process {
+	i := slices.IndexFunc(f.routers, func(p *process) bool { return p.name == name })
+	return f.routers[i]
+}
+
 func zone(i int) string { return fmt.Sprintf("zone-%d", i%3) }
 
 // addReplica starts a replica behind a proxy, which is the address on the list.
@@ -187,6 +203,7 @@
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	p.cmd, p.wanted, p.exited, p.disturbedAt = cmd, true, make(chan struct{}), time.Now()
+	p.lives = append(p.lives, life{startedAt: p.disturbedAt})
 	go p.wait(cmd, p.exited)
 	return nil
 }
@@ -207,8 +224,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.disturbedAt = time.Now()
-	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
-		p.wanted = false
+	now := &p.lives[len(p.lives)-1]
+	switch sig {
+	case syscall.SIGKILL:
+		p.wanted, now.killedAt = false, p.disturbedAt
+	case syscall.SIGTERM:
+		p.wanted, now.stoppedAt = false, p.disturbedAt
 	}
 	// One that has ended already needs no signal.
 	_ = p.cmd.Process.Signal(sig)
@@ -231,6 +252,23 @@
 	return p.start(bin)
 }
 
+// answers says whether the program that a request was sent to owes it an answer: it
+// was not killed before the end, and the request did not cross its closing of open
+// connections.
+func (p *process) answers(o outcome) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range slices.Backward(p.lives) {
+		if l.startedAt.After(o.openedAt) {
+			continue
+		}
+		killed := !l.killedAt.IsZero() && l.killedAt.Before(o.endedAt)
+		crossed := !l.stoppedAt.IsZero() && o.sentAt.After(l.stoppedAt.Add(answerTime))
+		return !killed && !crossed
+	}
+	return false
+}
+
 func (p *process) disturb() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -89,7 +89,9 @@
 	var wg sync.WaitGroup
 	for n := range opts.Callers {
 		seed := rnd.Uint64()
-		wg.Go(func() { s.callers.run(calling, n, rand.New(rand.NewPCG(seed, 2))) })
+		wg.Go(func() {
+			s.callers.run(calling, n, rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 5)))
+		})
 	}
 	sleep(ctx, settleTime/2)
 	s.inject(ctx, rnd)
@@ -140,6 +142,7 @@
 		seed := rnd.Uint64()
 		wg.Go(func() { s.series(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	}
+	wg.Go(func() { s.stopWhileLoading(ctx, rand.New(rand.NewPCG(s.opts.Seed, 4))) })
 	wg.Go(func() { s.probeRoutes(ctx) })
 	wg.Wait()
 }
@@ -271,9 +274,13 @@
 	if promise && len(runs) > 0 {
 		s.breach("%s %s was answered %d and ran at %s", o.path, o.attempt, o.status, runs[0].Instance)
 	}
-	if late := o.endedAt.Sub(o.sentAt); o.status != 0 && late > callTime+time.Second {
+	if late := o.endedAt.Sub(o.sentAt); o.status != 0 && late > o.patience()+time.Second {
 		s.breach("%s %s was answered after %s", o.path, o.attempt, late)
 	}
+	if o.closed() && s.f.router(o.router).answers(o) {
+		s.breach("%s %s: %s closed the connection after %s without an answer: %v",
+			o.path, o.attempt, o.router, o.endedAt.Sub(o.sentAt), o.err)
+	}
 }
 
 func (s *soaker) report() Report {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,11 +29,19 @@
 	// A router was started in the moment in which a replica was replaced, and held the
 	// replica's address between fork and exec.
 	"replica replaced while a program starts": {512, 4 * time.Second},
+	// Routers that stopped left requests without an answer that waited for a load
+	// (incident inc1 of 2026-12-04).
+	"router stopped while models load":      {2000, 8 * time.Second},
+	"router stopped while models load, II":  {2101, 8 * time.Second},
+	"router stopped while models load, III": {2102, 8 * time.Second},
 	// A stand-in of a replica that crashed right after its start kept its address.
 	"replica crashes at once after its start":     {203, 6 * time.Second},
 	"replica crashes at once after its start, II": {208, 6 * time.Second},
 }
 
+// runsAtOnce is how many fleets run beside each other: each is a dozen processes.
+const runsAtOnce = 2
+
 // build returns the program, built as it is delivered.
 func build(t *testing.T) string {
 	t.Helper()
@@ -48,8 +57,12 @@
 		t.Skip("runs processes for some seconds")
 	}
 	bin := build(t)
+	running := make(chan struct{}, runsAtOnce)
 	for name, c := range seeds {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			report, err := Run(t.Context(), Options{
 				Bin: bin, Dir: t.TempDir(), Seed: c.seed, For: c.time, Routers: 3, Sides: 3, Callers: 8,
 			})
@@ -61,6 +74,40 @@
 	}
 }
 
+// A request that its router has read is owed an answer unless the router was killed,
+// or closed open connections as the request came.
+func TestRequestsThatAreOwedAnAnswer(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	eof := outcome{sent: true, err: io.ErrUnexpectedEOF, openedAt: at(1), sentAt: at(2), endedAt: at(9)}
+	for name, c := range map[string]struct {
+		change func(o *outcome)
+		lives  []life
+		owed   bool
+	}{
+		"no end":                    {nil, []life{{startedAt: start}}, true},
+		"stopped after it was sent": {nil, []life{{startedAt: start, stoppedAt: at(3)}}, true},
+		"stopped just before":       {nil, []life{{startedAt: start, stoppedAt: at(1.5)}}, true},
+		"crossed the closing":       {func(o *outcome) { o.sentAt = at(5) }, []life{{startedAt: start, stoppedAt: at(1.5)}}, false},
+		"killed":                    {nil, []life{{startedAt: start, killedAt: at(8)}}, false},
+		"killed after the end":      {nil, []life{{startedAt: start, killedAt: at(10)}}, true},
+		"a later program killed":    {nil, []life{{startedAt: start}, {startedAt: at(3), killedAt: at(8)}}, true},
+		"an earlier program killed": {nil, []life{{startedAt: start, killedAt: at(0.5)}, {startedAt: at(0.6)}}, true},
+		"answered":                  {func(o *outcome) { o.status = 502 }, []life{{startedAt: start}}, false},
+		"never sent":                {func(o *outcome) { o.sent = false }, []life{{startedAt: start}}, false},
+		"caller gave up":            {func(o *outcome) { o.err = os.ErrDeadlineExceeded }, []life{{startedAt: start}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := eof
+			if c.change != nil {
+				c.change(&o)
+			}
+			p := &process{lives: c.lives}
+			assert.Equal(t, c.owed, o.closed() && p.answers(o))
+		})
+	}
+}
+
 // The checks must see what they are for.
 func TestChecksSee(t *testing.T) {
 	whole := outcome{attempt: "a", path: "/once/", status: 200, body: "answer to a", seal: "seal i a", whole: true}
