loop: let no later wake put off a tick

Callers whose requests waited were answered late, or not at all at the end of a stop, while other requests or reports kept coming. Cause: every event that asked to be woken set the timer anew, to at most 100 ms from then, and so put off the tick that was due; with such an event every 100 ms or less there was none. Ticks are what refuses the requests that still wait in a stopping router, and those whose deadline has passed.

The loop now stores when the next tick is due; an event may bring it forward only.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -40,7 +40,7 @@
 }
 
 // Tick tells a reducer that time has passed. The loop sends it periodically and
-// at the time that the last Wake effect named.
+// at the first time that Wake effects have named since the last one.
 type Tick struct{}
 
 // Kind implements Event.
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -84,6 +84,7 @@
 // Run feeds events to the reducer until the context ends.
 func (l *Loop) Run(ctx context.Context, exec Executor) {
 	defer close(l.done)
+	tickAt := time.Now().Add(TickPeriod)
 	timer := time.NewTimer(TickPeriod)
 	defer timer.Stop()
 	for {
@@ -97,9 +98,13 @@
 		case ev = <-l.inbox:
 		case <-timer.C:
 			ev = event.Tick{}
+			tickAt = time.Now().Add(TickPeriod)
+			timer.Reset(TickPeriod)
 		}
-		if wake := l.step(ev, exec); !wake.IsZero() || ev == (event.Tick{}) {
-			timer.Reset(untilNext(wake))
+		// A later wake must not put off the tick that others wait for.
+		if wake := l.step(ev, exec); !wake.IsZero() && wake.Before(tickAt) {
+			tickAt = wake
+			timer.Reset(time.Until(wake))
 		}
 	}
 }
@@ -122,11 +127,3 @@
 	}
 	return wake
 }
-
-// untilNext returns how long to wait for the next tick.
-func untilNext(wake time.Time) time.Duration {
-	if wake.IsZero() {
-		return TickPeriod
-	}
-	return min(max(time.Until(wake), 0), TickPeriod)
-}
