front: answer the calls that a drain breaks off

Callers of a router whose drain took longer than its time saw their connections closed without an answer. Cause: at the end of the time the server was closed while calls were in progress; only their closed connections told the daemon.

TestDrainTooLong of the front, on streams, holds before and after.

The last 300 ms of the time are now for the answers: the contexts of the calls end then, the daemon withdraws them, and callers get `draining`, with what is known of whether the call has run. Streams end with an error event, cut as before.

--- a/faults/router_drain_test.go
+++ b/faults/router_drain_test.go
@@ -198,3 +198,36 @@
 	require.Zero(t, runsOf(f.Fleet, "keyed"))
 	checkInvariants(t, f.Fleet)
 }
+
+// TestDrainTooLong stops a router whose calls last longer than it has: each caller
+// is told that the outcome is unknown, where it would see its connection closed.
+func TestDrainTooLong(t *testing.T) {
+	t.Parallel()
+	const calls = 4
+	f := startCutFleet(t, calmOptions())
+	ctx, cancel := context.WithTimeout(context.Background(), startBound)
+	defer cancel()
+	e := warm(ctx, t, f.Fleet, silentModel)
+	e.Engine.SetFaults(fakes.EngineFaults{Slowdown: 100})
+	answers := make(chan answer, calls)
+	for n := range calls {
+		go func() {
+			answers <- send(ctx, f.Fleet, call{
+				id: fmt.Sprintf("long-%d", n), model: silentModel, kind: kindCalmOnce, prompt: "drain", tokens: longTokens,
+			})
+		}()
+	}
+	for n := range calls {
+		running(t, f.Fleet, fmt.Sprintf("long-%d", n))
+	}
+	stopping, done := context.WithTimeout(ctx, 2500*time.Millisecond)
+	defer done()
+	require.ErrorIs(t, f.Routers[0].Stop(stopping), context.DeadlineExceeded)
+	for range calls {
+		a := <-answers
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusGatewayTimeout, a.status, a.body)
+		require.Equal(t, fleet.CodeDraining, a.code)
+		require.Equal(t, fleet.NotRunUnknown, a.notRun)
+	}
+}
--- a/io/front/conn_test.go
+++ b/io/front/conn_test.go
@@ -283,3 +283,39 @@
 		require.Error(t, err)
 	})
 }
+
+// A call that is still in progress when the time for a drain is over gets an answer
+// within that time: the caller would see its connection closed, and not know what
+// became of the call.
+func TestDrainTooLongAnswersCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 5 * time.Second
+		server, ln := start(t, func(ctx context.Context, _ *front.Call, _ front.Sink) error {
+			<-ctx.Done()
+			return refusal(fleet.CodeCallerCancelled, fleet.NotRunUnknown, time.Time{})
+		}, 0)
+		answers := make(chan *http.Response, 1)
+		failed := make(chan error, 1)
+		go func() {
+			res, err := post(ln, streamed)
+			if err != nil {
+				failed <- err
+				return
+			}
+			answers <- res
+		}()
+		synctest.Wait()
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), most)
+		defer cancel()
+		require.ErrorIs(t, server.Shutdown(ctx), context.DeadlineExceeded)
+		require.LessOrEqual(t, time.Since(begun), most)
+		select {
+		case res := <-answers:
+			require.Equal(t, http.StatusGatewayTimeout, res.StatusCode)
+			require.Equal(t, fleet.CodeDraining, readProblem(t, res).Code)
+		case err := <-failed:
+			require.NoError(t, err)
+		}
+	})
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -235,7 +237,10 @@
 		x.finish(out)
 		return
 	}
-	if out.gone || x.r.Context().Err() != nil {
+	switch {
+	case errors.Is(context.Cause(x.r.Context()), errBrokenOff):
+		err = brokenOff(err)
+	case out.gone || x.r.Context().Err() != nil:
 		x.front.meters.callerGone()
 		panic(http.ErrAbortHandler)
 	}
@@ -250,6 +255,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// brokenOff returns the refusal of a call that a drain has broken off. Whether it
+// has run is as its dispatcher says.
+func brokenOff(err error) error {
+	refusal := refusalOf(err)
+	refusal.Code, refusal.Detail = fleet.CodeDraining, errBrokenOff.Error()
+	return &RefusedError{Refusal: refusal}
+}
+
 // finish ends a whole answer.
 func (x *exchange) finish(out *sink) {
 	if err := out.finish(); err != nil {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -17,19 +17,29 @@
 	maxHeaderBytes = 32 << 10
 )
 
+// answerTime is the end of the time for a drain, in which the calls that are still
+// in progress are broken off and answered.
+const answerTime = 300 * time.Millisecond
+
+// errBrokenOff is why the context of a call ends that a drain breaks off.
+var errBrokenOff = errors.New("the time for the drain is over")
+
 // Server listens for callers.
 type Server struct {
 	front *Front
 	http  *http.Server
 	// drainDelay is how long calls are still taken in after the drain has begun.
 	drainDelay time.Duration
-	failed     chan error
+	// breakOff ends the contexts of all calls.
+	breakOff context.CancelCauseFunc
+	failed   chan error
 }
 
 // NewServer returns a server that has not been started. A draining server still
 // takes in calls for drainDelay, until the balancer has seen that it is not
 // ready.
 func NewServer(f *Front, drainDelay time.Duration) *Server {
+	calls, breakOff := context.WithCancelCause(context.Background())
 	return &Server{
 		front: f,
 		http: &http.Server{
@@ -37,8 +47,10 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			BaseContext:       func(net.Listener) context.Context { return calls },
 		},
 		drainDelay: drainDelay,
+		breakOff:   breakOff,
 		failed:     make(chan error, 1),
 	}
 }
@@ -74,23 +86,38 @@
 }
 
 // Shutdown drains: it says that it is not ready, goes on serving for the drain
-// delay, then accepts nothing new and waits for the calls in progress. When the
-// context ends first, it cuts those and returns the context's error.
+// delay, then accepts nothing new and waits for the calls in progress. Shortly before
+// the context's deadline it breaks those off: their callers are told so. It returns
+// the context's error then.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.front.Drain()
+	calls, cancel := beforeDeadline(ctx)
+	defer cancel()
 	delay := time.NewTimer(s.drainDelay)
 	defer delay.Stop()
 	select {
 	case <-delay.C:
-	case <-ctx.Done():
+	case <-calls.Done():
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.http.Shutdown(calls); err != nil {
+		s.breakOff(errBrokenOff)
+		// Calls that can't be answered in time are cut.
+		_ = s.http.Shutdown(ctx)
 		_ = s.http.Close()
 		return fmt.Errorf("drain callers: %w", err)
 	}
 	return nil
 }
 
+// beforeDeadline returns a context that ends in time for the last answers.
+func beforeDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, at.Add(-answerTime))
+}
+
 // Close cuts all connections at once.
 func (s *Server) Close() error {
 	if err := s.http.Close(); err != nil {
