cmds: count the time to stop from the signal

Callers could see their connections closed without an answer if their router got SIGTERM while it started or read its settings again. Cause: the time to stop was counted from when the process had ended that and looked at the signal; who sent the signal kills the process earlier than that.

Evidence: TestTimeToStopCountsFromTheSignal failed before (deadline 500 ms late after 500 ms of such work) and passes (5 of 5, with the race detector). The deadline is now taken when the signal arrives, whatever the process does then.

--- a/cmds/route.go
+++ b/cmds/route.go
@@ -59,6 +59,8 @@
 func runUntilSignal(most time.Duration, n runner, failed <-chan error) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	stopBy := make(chan time.Time, 1)
+	context.AfterFunc(ctx, func() { stopBy <- time.Now().Add(most) })
 	// The process outlives the signal: it drains first.
 	if err := n.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
@@ -76,7 +78,12 @@
 			}
 		}
 	}
-	drain, done := context.WithTimeout(context.WithoutCancel(ctx), most)
+	by := time.Now().Add(most)
+	if ctx.Err() != nil {
+		// The signal may have come a while ago, during a start or a reload.
+		by = <-stopBy
+	}
+	drain, done := context.WithDeadline(context.WithoutCancel(ctx), by)
 	defer done()
 	return errors.Join(failure, n.Stop(drain))
 }
