relayd: free the slot of a stream that is not resumed

Callers were refused although endpoints were free, after streams had broken that an endpoint then did not go on with (it answered 404, say). Cause: such an answer can't follow the head of the first one, and the request ended in a panic in the middle of its attempt: the reducer was never told and counted the request at the endpoint for good, and the connection to the endpoint stayed open.

Such an attempt now ends as broken: it is made again where that is allowed, or the stream ends short.

--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -38,8 +38,12 @@
 	writeTime = 10 * time.Second
 )
 
-// errAbandoned is the cause of a context that ends as the caller has left.
-var errAbandoned = errors.New("caller has left")
+var (
+	// errAbandoned is the cause of a context that ends as the caller has left.
+	errAbandoned = errors.New("caller has left")
+	// errNotResumed says that an endpoint has not gone on with a stream.
+	errNotResumed = errors.New("stream not resumed")
+)
 
 // exchange is one request from a caller, with its answer.
 type exchange struct {
@@ -319,6 +323,9 @@
 		ended.Result = relay.Done
 		return nil
 	}
+	if x.headed {
+		return fmt.Errorf("status %d: %w", resp.StatusCode, errNotResumed)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeBody+1))
 	if err != nil {
 		return fmt.Errorf("read answer: %w", err)
