relayd: tell callers that their connections end with refusals too

Callers whose request was refused or failed by a stopping router were not told that its connection ends, and could send the next request on it when it was closed. Cause: only answers of endpoints, and requests that came after the stop had begun, had the header set.

The header is set now when the final answer is decided.

--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -123,6 +123,7 @@
 
 // carryOut returns whether the request has its final answer.
 func (x *exchange) carryOut(ctx context.Context, cmd any) bool {
+	x.d.announceEnd(x.w.Header())
 	switch cmd := cmd.(type) {
 	case relay.Send:
 		return x.attempt(ctx, cmd)
@@ -385,8 +386,6 @@
 		// No type must be made up.
 		h["Content-Type"] = nil
 	}
-	if x.d.leaving.Load() {
-		h.Set("Connection", "close")
-	}
+	x.d.announceEnd(h)
 	x.headed = true
 }
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -70,9 +70,7 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if d.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	d.announceEnd(w.Header())
 	table := d.table.Load()
 	if table == nil || !d.known.Load() {
 		refuse(w, http.StatusServiceUnavailable, retryStarting, "not ready")
@@ -92,6 +90,13 @@
 	x.run(r.Context())
 }
 
+// announceEnd has the answer tell that its connection ends if the process does.
+func (d *Daemon) announceEnd(h http.Header) {
+	if d.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // reject answers a request that is not taken in.
 func (d *Daemon) reject(w http.ResponseWriter, r *http.Request, err error) {
 	d.log.Warn().Err(err).Str("path", r.URL.Path).Msg("request rejected")
