relay: test that a stopping router refuses short answers that wait for room

The tests of the refusals at a stop were on streams only: a wait that refuses nothing but streams in the second half of the time passed all of them. It fails this one; the present code passes.

--- a/core/relay/leave_test.go
+++ b/core/relay/leave_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"chervilreach/core/event"
 	"chervilreach/core/route"
@@ -56,6 +57,29 @@
 	assert.Equal(t, Stopping, only[Refuse](w).Reason)
 }
 
+// Short answers are sent to the end, but not waited for: a request for one that
+// waits for room when half of the time is over is refused, and so is a later one.
+func TestStoppingRouterRefusesWhatWaitsForRoom(t *testing.T) {
+	full := member("e1", plain)
+	full.Slots = 1
+	w := newWorld(t, full)
+	arrive := func() RequestID { return w.arrive(plainRoute(route.Unsafe), stock.Item{}) }
+	for range 2 {
+		arrive()
+		require.Len(t, effectsOf[Send](w), 1)
+	}
+	waiting := arrive()
+	require.Empty(t, effectsOf[Send](w))
+	w.apply(Leaving{By: w.now.Add(2 * time.Second)})
+	require.Empty(t, effectsOf[Refuse](w))
+	w.pass(time.Second)
+	refused := only[Refuse](w)
+	assert.Equal(t, waiting, refused.ID)
+	assert.Equal(t, Stopping, refused.Reason)
+	arrive()
+	assert.Equal(t, Stopping, only[Refuse](w).Reason)
+}
+
 // A stream that a stopping router was passing on and that breaks is resumed
 // elsewhere as before, and without an endpoint ends visibly.
 func TestStoppingRouterEndsBrokenStreams(t *testing.T) {
