relay: pass on an endpoint's failure where no other attempt can be made

Callers of a stopping router got a 502 of its own in place of the answer with which an endpoint had failed, if there was no time for another attempt. Cause: a refusal of a request that has run became a failure without a look at the answer at hand.

Evidence: TestStoppingRouterPassesOnFailures failed before (a failure, "stopping") and passes.

--- a/core/relay/leave_test.go
+++ b/core/relay/leave_test.go
@@ -103,6 +103,16 @@
 	assert.Empty(t, effectsOf[Send](w))
 }
 
+// The endpoint's own failure is passed on if there is no time to try another one.
+func TestStoppingRouterPassesOnFailures(t *testing.T) {
+	w := newWorld(t, member("e1", plain), member("e2", plain))
+	id := w.arrive(plainRoute(route.Safe), stock.Item{})
+	w.apply(Leaving{By: w.now.Add(2 * time.Second)})
+	w.now = w.now.Add(2 * time.Second)
+	w.ended(id, Failed)
+	assert.Equal(t, id, only[Deliver](w).ID)
+}
+
 // A second request for a model whose load has been asked for and not yet been
 // reported is not counted behind that load.
 func TestAskedLoadIsNotCountedTwice(t *testing.T) {
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -262,11 +262,11 @@
 }
 
 func (s *State) refuse(r *request, reason Reason, at time.Time) {
-	s.drop(r)
 	if r.ran > 0 || r.answering {
-		s.emit(Fail{ID: r.id, Reason: reason})
+		s.fail(r, reason)
 		return
 	}
+	s.drop(r)
 	s.emit(Refuse{ID: r.id, Reason: reason, RetryAt: at})
 }
 
