relayd: bound writes of whole answers; blame no endpoint for a caller

A caller that read nothing held its request and the slot at the endpoint for good, as only the events of streams had a deadline for writing. A failed write of a long answer counted as the endpoint's failure, and the request was sent to another one.

Evidence: TestCallerThatReadsNothingIsLeft failed before (no deadline; the error was not that of a caller who has left) and passes.

--- /dev/null
+++ b/io/relayd/caller_test.go
@@ -0,0 +1,63 @@
+package relayd
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/core/relay"
+	"chervilreach/core/route"
+)
+
+var errDeaf = errors.New("caller reads nothing")
+
+// deafCaller is a caller that reads nothing: writes to it fail at their deadline.
+type deafCaller struct {
+	*httptest.ResponseRecorder
+	writeBy time.Time
+}
+
+func (c *deafCaller) SetWriteDeadline(at time.Time) error {
+	c.writeBy = at
+	return nil
+}
+
+func (c *deafCaller) Write([]byte) (int, error) { return 0, errDeaf }
+
+// A caller that reads nothing holds a request's slot no longer than writeTime, and
+// its endpoint is not blamed for it.
+func TestCallerThatReadsNothingIsLeft(t *testing.T) {
+	t.Parallel()
+	long := bytes.Repeat([]byte("x"), wholeBody+1)
+	for name, pass := range map[string]func(x *exchange) error{
+		"whole answer": func(x *exchange) error {
+			x.deliver(&wholeAnswer{head: &http.Response{StatusCode: http.StatusOK}, body: []byte("x")})
+			return errAbandoned
+		},
+		"long answer": func(x *exchange) error {
+			resp := &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(long))}
+			return x.passLong(resp, long, &relay.Ended{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := &deafCaller{ResponseRecorder: httptest.NewRecorder()}
+			d := New(Options{Log: zerolog.Nop()})
+			x := &exchange{
+				d: d, w: w, rc: http.NewResponseController(w), route: &route.Route{Name: "book"},
+				r: httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil),
+			}
+			begun := time.Now()
+			require.ErrorIs(t, pass(x), errAbandoned)
+			assert.WithinRange(t, w.writeBy, begun.Add(writeTime), time.Now().Add(writeTime))
+		})
+	}
+}
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -50,6 +50,7 @@
 	d         *Daemon
 	id        relay.RequestID
 	w         http.ResponseWriter
+	rc        *http.ResponseController
 	r         *http.Request
 	body      []byte
 	route     *route.Route
@@ -350,10 +351,11 @@
 func (x *exchange) passLong(resp *http.Response, begin []byte, ended *relay.Ended) error {
 	x.head(resp)
 	x.w.WriteHeader(resp.StatusCode)
-	if _, err := x.w.Write(begin); err != nil {
-		return fmt.Errorf("pass on answer: %w: %w", errAbandoned, err)
+	caller := callerWriter{x}
+	if _, err := caller.Write(begin); err != nil {
+		return fmt.Errorf("pass on answer: %w", err)
 	}
-	if _, err := io.Copy(x.w, resp.Body); err != nil {
+	if _, err := io.Copy(caller, resp.Body); err != nil {
 		return fmt.Errorf("pass on answer: %w", err)
 	}
 	ended.Result = relay.Done
@@ -370,7 +372,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	x.w.WriteHeader(a.head.StatusCode)
-	if _, err := x.w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+	if _, err := (callerWriter{x}).Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		x.log("left", err.Error())
 	}
 }
@@ -389,3 +391,20 @@
 	x.d.announceEnd(h)
 	x.headed = true
 }
+
+// callerWriter writes to the caller. Its errors wrap errAbandoned.
+type callerWriter struct {
+	x *exchange
+}
+
+// Write implements io.Writer. The caller has writeTime to take the bytes.
+func (c callerWriter) Write(p []byte) (int, error) {
+	if err := c.x.rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return 0, fmt.Errorf("bound write: %w: %w", errAbandoned, err)
+	}
+	n, err := c.x.w.Write(p)
+	if err != nil {
+		return n, fmt.Errorf("write to caller: %w: %w", errAbandoned, err)
+	}
+	return n, nil
+}
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -127,7 +127,7 @@
 		return nil, err
 	}
 	x := &exchange{
-		d: d, w: w, r: r, body: body, route: rt,
+		d: d, w: w, rc: http.NewResponseController(w), r: r, body: body, route: rt,
 		commands: make(chan any, commandsQueued),
 		last:     call.LastEvent,
 		request: relay.Request{
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -25,7 +25,6 @@
 // are passed on, so that the stream can go on at another endpoint.
 func (x *exchange) passStream(c *conns.Conn, send relay.Send, resp *http.Response) error {
 	in := bufio.NewReaderSize(resp.Body, eventBuffer)
-	rc := http.NewResponseController(x.w)
 	if !x.headed {
 		resp.Header.Del("Content-Length")
 		x.head(resp)
@@ -54,7 +53,7 @@
 		if !x.next(ev) {
 			continue
 		}
-		if err := x.writeEvent(rc, ev, wholeEventNext(in)); err != nil {
+		if err := x.writeEvent(ev, wholeEventNext(in)); err != nil {
 			return err
 		}
 	}
@@ -85,17 +84,14 @@
 	return true
 }
 
-func (x *exchange) writeEvent(rc *http.ResponseController, ev []byte, more bool) error {
-	if err := rc.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
-		return fmt.Errorf("bound write: %w", err)
-	}
-	if _, err := x.w.Write(ev); err != nil {
-		return fmt.Errorf("pass on event: %w: %w", errAbandoned, err)
+func (x *exchange) writeEvent(ev []byte, more bool) error {
+	if _, err := (callerWriter{x}).Write(ev); err != nil {
+		return fmt.Errorf("pass on event: %w", err)
 	}
 	if more {
 		return nil
 	}
-	if err := rc.Flush(); err != nil {
+	if err := x.rc.Flush(); err != nil {
 		return fmt.Errorf("pass on event: %w: %w", errAbandoned, err)
 	}
 	return nil
