node: close all servers when a process on the platform stops

Programs that embed a router or an agent, and tests with -count above 1, found their addresses in use after Stop. The end of a stop is a stored deadline, not a time from when the process wakes.

--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -38,10 +38,11 @@
 	// linesPerSecond bounds the lines of a process at the level info: above what a
 	// busy day writes, below what a small core can afford.
 	linesPerSecond = 400
-	// stopMargin is left of the time for stopping when requests are broken off.
+	// stopMargin is left of the time for stopping when requests are broken off, and
+	// endMargin when the process ends at the latest: the last answers are written in
+	// between.
 	stopMargin = 300 * time.Millisecond
-	// breakOffTime bounds, within stopMargin, how long the last answers may take.
-	breakOffTime = 200 * time.Millisecond
+	endMargin  = 100 * time.Millisecond
 )
 
 var errNotReady = errors.New("routes or endpoints are not known yet, or the process is leaving")
@@ -221,6 +222,7 @@
 	if !ok {
 		at = time.Now().Add(r.cfg.Process.DrainTimeout)
 	}
+	endAt := at.Add(-endMargin)
 	at = at.Add(-stopMargin)
 	r.daemon.Leave(at)
 	r.log.Info().Int("in-progress", r.daemon.InProgress()).Msg("stopping")
@@ -231,21 +233,30 @@
 	case <-ctx.Done():
 	case <-time.After(leaveTime):
 	}
-	defer func() { _ = r.admin.Close() }()
+	defer r.closeServers()
 	if err := r.calls.Shutdown(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.InProgress()).Msg("stopped with requests in progress")
-		r.breakOff()
+		r.breakOff(endAt)
 		return fmt.Errorf("finish requests: %w", err)
 	}
 	r.log.Info().Msg("stopped")
 	return nil
 }
 
+// closeServers ends what is still open, as the end of the process would.
+func (r *Relay) closeServers() {
+	for _, s := range []*http.Server{r.calls, r.ready, r.admin} {
+		if err := s.Close(); err != nil {
+			r.log.Warn().Err(err).Msg("server not closed")
+		}
+	}
+}
+
 // breakOff gives the requests that are still in progress their final answers, and
-// waits until these are written.
-func (r *Relay) breakOff() {
+// waits until these are written, at the latest until endAt.
+func (r *Relay) breakOff(endAt time.Time) {
 	r.daemon.Abort()
-	ctx, cancel := context.WithTimeout(context.Background(), breakOffTime)
+	ctx, cancel := context.WithDeadline(context.Background(), endAt)
 	defer cancel()
 	if err := r.calls.Shutdown(ctx); err != nil {
 		r.log.Error().Err(err).Msg("stopped before all answers were written")
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -21,7 +21,7 @@
 	const grace, writing = 600 * time.Millisecond, 50 * time.Millisecond
 	r := &Relay{
 		log: &logs.Log{Logger: zerolog.Nop()}, daemon: relayd.New(relayd.Options{}), admin: &http.Server{},
-		stop: func() {},
+		ready: &http.Server{}, stop: func() {},
 	}
 	arrived := make(chan struct{})
 	r.calls = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -39,7 +39,6 @@
 		ctx, cancel := context.WithTimeout(context.Background(), grace)
 		defer cancel()
 		_ = r.Stop(ctx)
-		assert.NoError(t, r.calls.Close())
 	}()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String(), nil)
 	require.NoError(t, err)
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	registry  metrics.Registry
 	recorder  *line.Recorder
 	startedAt time.Time
+	admin     *http.Server
 	stop      context.CancelFunc
 	failed    chan error
 
@@ -103,7 +105,7 @@
 		return err
 	}
 	s.startedAt = time.Now()
-	serveAdmin(la, admin.Parts{Source: s, Recorder: s.recorder, Metrics: s.registry})
+	s.admin = serveAdmin(la, admin.Parts{Source: s, Recorder: s.recorder, Metrics: s.registry})
 	go s.daemon.Run(ctx)
 	go s.fence(ctx)
 	go s.mirror.Run(ctx)
@@ -181,5 +183,8 @@
 func (s *Swap) Stop(context.Context) error {
 	s.log.Info().Msg("stopped")
 	s.stop()
+	if err := s.admin.Close(); err != nil {
+		return fmt.Errorf("close administration: %w", err)
+	}
 	return nil
 }
