relay: ask for no load while a listed holder's agent is still connecting

Callers saw: after a restart of many processes at once, requests for models that others held waited for loads of 2 s that were asked of endpoints whose agents had connected first.

Cause: a router uses a listed endpoint once its agent has reported, or after 1.5 s.

Change: every router waits until the listed holders are confirmed or their time is over; for an adapter only while no holder of its model has its agent, as such a load takes 40 ms.

Evidence: TestStartedRouterLoadsNoModelThatIsListed and TestListedModelIsLoadedOnceItsHolderIsSilent failed before (a load was asked of "early" and "live") and pass.

--- a/core/relay/follow.go
+++ b/core/relay/follow.go
@@ -114,14 +114,6 @@
 	})
 }
 
-// unconfirmed says whether an endpoint that holds what a request needs by the list
-// is about to be confirmed. Where all agents are followed, its report tells more.
-func (s *State) unconfirmed(r *request) bool {
-	return s.partial() && slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
-		return !e.Leaving && e.Stock.Holds(r.Item) && !e.confirmed(s.now) && !slices.Contains(r.avoid, e.Instance)
-	})
-}
-
 // reportGap is the least time between two reports of one agent that tell only of
 // load; 0 leaves it to the agents.
 func (s *State) reportGap() time.Duration {
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -53,6 +53,19 @@
 	return s.want(r, engine)
 }
 
+// unconfirmed says whether an endpoint that holds what a request needs by the list
+// is about to be confirmed: agents connect one after the other, and one that is
+// early must not be asked for what others hold. An adapter is loaded at once where
+// a holder of its model has its agent.
+func (s *State) unconfirmed(r *request) bool {
+	if r.Item.Model == "" || r.Item.Adapter != "" && s.holderLives(wantKey{r.Service, r.Item}) {
+		return false
+	}
+	return slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
+		return !e.Leaving && !e.confirmed(s.now) && !slices.Contains(r.avoid, e.Instance)
+	})
+}
+
 // want joins the load that the request needs, or asks for it.
 func (s *State) want(r *request, engine *route.Engine) (time.Time, Reason) {
 	key := wantKey{r.Service, r.Item}
