relay: ask for no load before the whole list has been read

Callers saw: a request for a model whose holder stands on the last pages of a long list waited for a load elsewhere in the moments after its router had started.

Cause: routers use the first pages of the list before the last ones have come, and what these do not tell of counted as held by nobody.

Change: a copy of the store says whether more is to come, and so does the list. Until it is whole, for at most 1.5 s, requests wait; those for an adapter do not where a holder of its model has its agent.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -134,9 +134,11 @@
 	Stock stock.Report
 }
 
-// Members tells the whole list of endpoints.
+// Members tells the list of endpoints.
 type Members struct {
 	List []Member
+	// More says that the rest of the list has not been read yet.
+	More bool
 }
 
 // Kind implements event.Event.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -4,10 +4,15 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"chervilreach/core/stock"
 )
 
+// listTime is how long the rest of a list is waited for before a load is asked for
+// that its holders may make needless: twice what the largest fleet's list took.
+const listTime = 1500 * time.Millisecond
+
 // members takes in the whole list of endpoints.
 func (s *State) members(ev Members) {
 	old := make(map[string]*endpoint, len(s.endpoints))
@@ -32,10 +37,21 @@
 			s.breakOff(old[id])
 		}
 	}
+	s.noteList(ev.More)
 	s.refollow = true
 	s.serveWaiting()
 }
 
+// noteList notes whether the rest of the list is still to come.
+func (s *State) noteList(more bool) {
+	switch {
+	case !more:
+		s.listBy = time.Time{}
+	case s.listBy.IsZero():
+		s.listBy = s.now.Add(listTime)
+	}
+}
+
 // breakOff ends the attempts at an endpoint that another one has taken the place of:
 // its answers won't come, and a connection to a host that went dark does not end.
 func (s *State) breakOff(e *endpoint) {
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -49,6 +49,8 @@
 	refollow bool
 	// agents is how many endpoints have agents.
 	agents int
+	// listBy is until when the rest of the list is waited for; zero if it is whole.
+	listBy time.Time
 	// sendBy is the last moment to send a waiting request before the process stops,
 	// endBy when attempts are broken off; zero if it does not stop.
 	sendBy, endBy time.Time
--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -53,15 +53,15 @@
 	return s.want(r, engine)
 }
 
-// unconfirmed says whether an endpoint that holds what a request needs by the list
-// is about to be confirmed: agents connect one after the other, and one that is
-// early must not be asked for what others hold. An adapter is loaded at once where
-// a holder of its model has its agent.
+// unconfirmed says whether an endpoint that holds what a request needs is about to
+// be confirmed, or may still come with the rest of the list: agents connect one after
+// the other, and one that is early must not be asked for what others hold. An adapter
+// is loaded at once where a holder of its model has its agent.
 func (s *State) unconfirmed(r *request) bool {
-	if r.Item.Model == "" || r.Item.Adapter != "" && s.holderLives(wantKey{r.Service, r.Item}) {
+	if r.Item.Adapter != "" && s.holderLives(wantKey{r.Service, r.Item}) {
 		return false
 	}
-	return slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
+	return s.now.Before(s.listBy) || slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
 		return !e.Leaving && !e.confirmed(s.now) && !slices.Contains(r.avoid, e.Instance)
 	})
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -70,8 +70,9 @@
 	// read by one call.
 	Pace time.Duration
 	Log  zerolog.Logger
-	// Changed gets the whole copy after each change.
-	Changed func(image map[string][]byte)
+	// Changed gets the copy after each change; more says that some of it has not been
+	// read yet.
+	Changed func(image map[string][]byte, more bool)
 }
 
 // Mirror is the copy.
@@ -222,7 +223,7 @@
 	first := !m.known
 	m.known = true
 	if changed := m.apply(items); !changed && first {
-		m.opts.Changed(maps.Clone(m.image))
+		m.opts.Changed(maps.Clone(m.image), !m.known)
 	}
 	return nil
 }
@@ -296,7 +297,7 @@
 		}
 	}
 	if changed {
-		m.opts.Changed(maps.Clone(m.image))
+		m.opts.Changed(maps.Clone(m.image), !m.known)
 	}
 	return changed
 }
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -135,7 +135,7 @@
 	var latest map[string]string
 	m := New(Options{
 		Store: f, Prefix: "p/", Pace: time.Millisecond, Wait: 50 * time.Millisecond, Log: zerolog.Nop(),
-		Changed: func(image map[string][]byte) {
+		Changed: func(image map[string][]byte, _ bool) {
 			mu.Lock()
 			defer mu.Unlock()
 			latest = make(map[string]string)
@@ -230,7 +230,7 @@
 }
 
 func TestOlderItemsAreLeftOut(t *testing.T) {
-	m := New(Options{Changed: func(map[string][]byte) {}})
+	m := New(Options{Changed: func(map[string][]byte, bool) {}})
 	m.apply([]Item{{Key: "a", Value: []byte("new"), Revision: 7}})
 	m.apply([]Item{{Key: "a", Value: []byte("old"), Revision: 5}})
 	assert.Equal(t, "new", string(m.image["a"]))
@@ -295,6 +295,31 @@
 	})
 }
 
+// TestTellsThatMoreIsToCome: a copy of which pages are missing says so, the whole one
+// and those after it do not.
+func TestTellsThatMoreIsToCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		for n := range 30 {
+			f.put(fmt.Sprintf("p/%02d", n), "1")
+		}
+		f.pageMost = 10
+		more := make(map[int]bool)
+		m := New(Options{
+			Store: f, Prefix: "p/", Pace: time.Millisecond, Wait: 50 * time.Millisecond, Log: zerolog.Nop(),
+			Changed: func(image map[string][]byte, some bool) { more[len(image)] = some },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		f.put("p/30", "1")
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		assert.Equal(t, map[int]bool{10: true, 20: true, 30: false, 31: false}, more)
+	})
+}
+
 // TestSlowPages: pages that take longer than a second come all the same.
 func TestSlowPages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -150,11 +150,11 @@
 	return nil
 }
 
-func (r *Relay) changed(image map[string][]byte) {
+func (r *Relay) changed(image map[string][]byte, more bool) {
 	if t := r.plat.Image.Routes(image); t != nil {
 		r.daemon.Adopt(t)
 	}
-	r.daemon.SetMembers(r.plat.Image.Members(image))
+	r.daemon.SetMembers(r.plat.Image.Members(image), more)
 }
 
 func (r *Relay) listen(ctx context.Context, s *http.Server, addr netip.AddrPort) error {
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -126,7 +126,7 @@
 	}
 }
 
-func (s *Swap) changed(image map[string][]byte) {
+func (s *Swap) changed(image map[string][]byte, _ bool) {
 	if t := s.plat.Routes(image); t != nil {
 		s.daemon.Adopt(t.Engine(s.cfg.Endpoint.Service), t.Version, s.plat.Document(image))
 	}
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -119,10 +119,11 @@
 	d.loop.Post(relay.Configured{Settings: cfg})
 }
 
-// SetMembers takes in the whole list of endpoints.
-func (d *Daemon) SetMembers(list []relay.Member) {
+// SetMembers takes in the list of endpoints, of which more may still have to be
+// read.
+func (d *Daemon) SetMembers(list []relay.Member, more bool) {
 	d.known.Store(true)
-	d.loop.Post(relay.Members{List: list})
+	d.loop.Post(relay.Members{List: list, More: more})
 }
 
 // Ready says whether callers may be sent here.
