mirror: read all again when a watch has passed a change by

Cause: a mirror goes on from the revision that a watch's answer bears, also when the answer has no item for it. A watch that waits while history is dropped and answers at its end without the change makes the mirror pass it by for good: of the paths looked at, this alone leaves a router on old routes until the next change with a store that answers. Versions in frames between processes heal it at one router, not if the watches of all missed it.

Change: a router follows all keys, so that each new revision is that of a change which the answer has to hold; one that does not has everything read again at once. If a read finds nothing newer, the next for this cause waits 1 s, doubling to 8 s, so that a store which counts other things costs little. What is read again for a cause (this one, lost history, a later version elsewhere) is read without the pace between two watches.

Ruled out: Adopt and the table (compare and swap by version, one table per request), the decoded image (a document is decoded when its bytes change).

Before: TestWatchThatPassesChangeBy fails. After: it passes; TestRevisionsWithoutChanges allows 13 reads in a minute of such revisions.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -29,6 +29,11 @@
 	// returnTime is how long after an outage the entries of live writers may take
 	// to come back: the platform says two seconds.
 	returnTime = 2200 * time.Millisecond
+	// checkFirst and checkMost are the pauses between reads of everything that found
+	// nothing new, though the store's revision told of a change: a store that counts
+	// what is no change of a key costs little more than one that does not.
+	checkFirst = time.Second
+	checkMost  = 8 * time.Second
 	// lapsedTime bounds how long a removed entry is kept after an outage: below the
 	// time in which a removed endpoint must get no more requests.
 	lapsedTime = 1500 * time.Millisecond
@@ -61,7 +66,9 @@
 
 // Options are the parts of a mirror.
 type Options struct {
-	Store  Store
+	Store Store
+	// Prefix covers the keys. An empty one covers the whole store, so that each new
+	// revision is that of a change which a watch has to tell of.
 	Prefix string
 	// Wait is how long a watch waits for a change. A watch may fall silent for good
 	// while new ones work, so that it bounds how late a change is seen.
@@ -87,6 +94,17 @@
 	reading *reading
 	// refresh has everything read again.
 	refresh chan struct{}
+	// again says that everything is to be read again at once.
+	again bool
+	// passed says that a watch went on past a change that it did not tell of.
+	passed bool
+	// checkAt is when everything may be read again for it, checkPause the last pause
+	// between two such reads, and checking says that one is in progress.
+	checkAt    time.Time
+	checkPause time.Duration
+	checking   bool
+	// newer says that something was newer than the image since it was set to false.
+	newer bool
 	// lostAt and backAt tell of the last outage.
 	lostAt, backAt time.Time
 	known          bool
@@ -129,7 +147,9 @@
 		err := m.step(ctx)
 		if err == nil {
 			pause = retryFirst
-			m.sleep(ctx, m.opts.Pace)
+			if !m.due() {
+				m.sleep(ctx, m.opts.Pace)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -153,9 +173,20 @@
 	}
 }
 
+// due says that everything is to be read without a pause: what the image lacks may
+// have changed long ago.
+func (m *Mirror) due() bool {
+	return m.again || m.passed && !time.Now().Before(m.checkAt)
+}
+
 // step reads everything, or waits for a change.
 func (m *Mirror) step(ctx context.Context) error {
+	if m.passed && !time.Now().Before(m.checkAt) {
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("watch passed a change by, reading all")
+		m.next, m.passed, m.checking, m.newer = 0, false, true, false
+	}
 	if m.next == 0 {
+		m.again = false
 		return m.readAll(ctx)
 	}
 	wait := m.opts.Wait
@@ -165,23 +196,49 @@
 	items, next, err := m.watch(ctx, wait)
 	if errors.Is(err, errRefresh) {
 		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("change missed, reading all")
-		m.next = 0
+		m.next, m.again = 0, true
 		return nil
 	}
 	if errors.Is(err, ErrCompacted) {
 		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("store history lost, reading all")
-		m.next = 0
+		m.next, m.again = 0, true
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	m.back()
+	m.notePassed(items, next)
 	m.next = max(next, m.next)
 	m.apply(items)
 	return nil
 }
 
+// notePassed looks for a change that the answer of a watch has left out: its
+// revision is counted, but none of the items bears it.
+func (m *Mirror) notePassed(items []Item, next int64) {
+	last := m.next
+	for _, it := range items {
+		last = max(last, it.Revision)
+	}
+	m.passed = m.passed || m.opts.Prefix == "" && next > last
+}
+
+// checked sets when everything may be read again for a change that a watch has
+// passed by: at once if the last such read has found one.
+func (m *Mirror) checked() {
+	if !m.checking {
+		return
+	}
+	m.checking = false
+	if m.newer {
+		m.checkPause, m.checkAt = 0, time.Time{}
+		return
+	}
+	m.checkPause = min(max(2*m.checkPause, checkFirst), checkMost)
+	m.checkAt = time.Now().Add(m.checkPause)
+}
+
 // watch waits for a change or until everything is to be read again.
 func (m *Mirror) watch(ctx context.Context, wait time.Duration) ([]Item, int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -227,6 +284,7 @@
 	if changed := m.apply(items); !changed && first {
 		m.opts.Changed(maps.Clone(m.image))
 	}
+	m.checked()
 	return nil
 }
 
@@ -272,6 +330,8 @@
 			// Read before what is known already.
 			continue
 		}
+		_, held := m.image[it.Key]
+		m.newer = m.newer || it.Revision > m.revisions[it.Key] && (held || it.Value != nil)
 		m.revisions[it.Key] = it.Revision
 		if it.Value != nil {
 			delete(m.lapsed, it.Key)
@@ -279,7 +339,8 @@
 			m.image[it.Key] = it.Value
 			continue
 		}
-		if _, held := m.image[it.Key]; !held {
+		if !held {
+			delete(m.revisions, it.Key)
 			continue
 		}
 		if until := m.returnUntil(now); now.Before(until) {
