mirror: make calls beside a silent one

Callers saw: nothing that was traced. In tests a mirror is on old keys for up to 5.5 s after the store is back (4 s of a call on a dead connection, then 1.5 s of pause), where machines have to have a change 4 s after a disruption.

Cause: a call was given up after a bound, short for watches and doubling to 4 s for pages: the one is too short for slow answers, the other too long for silent ones.

Change: a call is kept for 4 s beyond its time, and while it is silent others are made beside it, one a second; the first answer counts. Pauses after failures end at 0.3 to 0.9 s (0.5 to 1.5 s before). Entries lapse while the store is silent too. The bound on watches moves from the platform's client to the mirror.

Test: TestImageEqualsStoreAfterTroubles draws series of refused, silent, cut, slow and deaf calls, history dropped, refreshes and pages of 1 to 30 keys, and asks for the store's keys 2 s after the last trouble, and for no other key once lapsedTime is over as well.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -16,16 +16,26 @@
 // ErrCompacted says that the store no longer has the history that was asked for.
 var ErrCompacted = errors.New("history is gone")
 
-var errRefresh = errors.New("everything is to be read again")
+var (
+	errRefresh = errors.New("everything is to be read again")
+	errSilent  = errors.New("no answer in time")
+)
 
 const (
-	// readTime bounds the read of one page, and twice as long after each failure up
-	// to readMost: a page that a busy store has sent in part is not thrown away.
-	readTime = time.Second
-	readMost = 4 * time.Second
-	// retryFirst and retryMost are the pauses after failed calls.
+	// readTime is how long the read of a page may take, and watchSlack how much longer
+	// than its wait a watch may, until it counts as silent; the store answers in some
+	// ms when it is well.
+	readTime   = time.Second
+	watchSlack = 300 * time.Millisecond
+	// callMost bounds a silent call: what a busy store has sent in part is not thrown
+	// away at once.
+	callMost = 4 * time.Second
+	// besideTime bounds the calls that are made beside a silent one, one at a time.
+	besideTime = time.Second
+	// retryFirst and retryMost are the pauses after failed calls: the longest, half of
+	// it longer by chance, is below the two seconds in which changes are in force.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = time.Second
+	retryMost  = 600 * time.Millisecond
 	// returnTime is how long after an outage the entries of live writers may take
 	// to come back: the platform says two seconds.
 	returnTime = 2200 * time.Millisecond
@@ -117,10 +127,8 @@
 	// revision is that of the first page: later ones are of other moments.
 	revision int64
 	after    string
-	// within is the time for the next page, got says that one has come since the last
-	// failure.
-	within time.Duration
-	got    bool
+	// got says that a page has come since the last failure.
+	got bool
 }
 
 // New returns an empty mirror.
@@ -156,6 +164,7 @@
 			return
 		}
 		m.lost(err)
+		m.expire(time.Now())
 		if m.reading != nil && m.reading.got {
 			pause, m.reading.got = retryFirst, false
 		}
@@ -191,7 +200,7 @@
 	}
 	wait := m.opts.Wait
 	if at, ok := m.nextLapse(); ok {
-		wait = max(time.Until(at), time.Millisecond)
+		wait = min(wait, max(time.Until(at), time.Millisecond))
 	}
 	items, next, err := m.watch(ctx, wait)
 	if errors.Is(err, errRefresh) {
@@ -239,27 +248,81 @@
 	m.checkAt = time.Now().Add(m.checkPause)
 }
 
+// changes are the answer of a watch.
+type changes struct {
+	items []Item
+	next  int64
+}
+
 // watch waits for a change or until everything is to be read again.
 func (m *Mirror) watch(ctx context.Context, wait time.Duration) ([]Item, int64, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
+	prefix, after := m.opts.Prefix, m.next
+	got, err := beside(ctx, m, wait+watchSlack, m.refresh, func(ctx context.Context, again bool) (changes, error) {
+		wait := wait
+		if again {
+			wait = time.Millisecond
+		}
+		items, next, err := m.opts.Store.Watch(ctx, prefix, after, wait)
+		return changes{items, next}, err
+	})
+	return got.items, got.next, err
+}
+
+// beside makes a call and returns its answer. While the call is silent others are
+// made beside it, as a connection may be silent for good while new ones work; the
+// first answer counts. It ends with errRefresh if that is asked for meanwhile.
+func beside[T any](
+	ctx context.Context, m *Mirror, patience time.Duration, refresh <-chan struct{},
+	call func(ctx context.Context, again bool) (T, error),
+) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience+callMost)
+	defer cancel()
+	answers := make(chan answer)
+	open := 0
+	bounded := func(again bool) (T, error) {
+		if !again {
+			return call(ctx, again)
+		}
+		ctx, cancel := context.WithTimeout(ctx, besideTime)
+		defer cancel()
+		return call(ctx, again)
+	}
+	begin := func(again bool) {
+		open++
+		go func() {
+			value, err := bounded(again)
+			select {
+			case answers <- answer{value, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	begin(false)
+	silent := time.NewTimer(patience)
+	defer silent.Stop()
+	var none T
+	for {
 		select {
-		case <-done:
-		case <-m.refresh:
-			cancel(errRefresh)
+		case a := <-answers:
+			open--
+			if a.err == nil || errors.Is(a.err, ErrCompacted) || open == 0 {
+				return a.value, a.err
+			}
+		case <-silent.C:
+			m.lost(errSilent)
+			m.expire(time.Now())
+			begin(true)
+			silent.Reset(besideTime)
+		case <-refresh:
+			return none, errRefresh
+		case <-ctx.Done():
+			return none, errSilent
 		}
-	}()
-	items, next, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.next, wait)
-	close(done)
-	<-ended
-	if errors.Is(context.Cause(ctx), errRefresh) {
-		// Also when the watch has answered meanwhile: the refresh would be lost.
-		return nil, 0, errRefresh
-	}
-	return items, next, err
+	}
 }
 
 func (m *Mirror) readAll(ctx context.Context) error {
@@ -291,15 +354,14 @@
 // readPages reads the pages that are missing.
 func (m *Mirror) readPages(ctx context.Context) error {
 	if m.reading == nil {
-		m.reading = &reading{within: readTime}
+		m.reading = &reading{}
 	}
 	for r := m.reading; ; {
 		page, err := m.readPage(ctx, r)
 		if err != nil {
-			r.within = min(2*r.within, readMost)
 			return err
 		}
-		r.within, r.got = readTime, true
+		r.got = true
 		if !m.known {
 			// A part of the list is better than none: it may take long to read.
 			m.apply(page.Items)
@@ -316,9 +378,10 @@
 }
 
 func (m *Mirror) readPage(ctx context.Context, r *reading) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.within)
-	defer cancel()
-	return m.opts.Store.Page(ctx, m.opts.Prefix, r.after)
+	prefix, after := m.opts.Prefix, r.after
+	return beside(ctx, m, readTime, nil, func(ctx context.Context, _ bool) (Page, error) {
+		return m.opts.Store.Page(ctx, prefix, after)
+	})
 }
 
 // apply takes in changes and tells of them; it returns whether there were any.
@@ -351,6 +414,16 @@
 		delete(m.revisions, it.Key)
 		changed = true
 	}
+	changed = m.lapse(now) || changed
+	if changed {
+		m.opts.Changed(maps.Clone(m.image))
+	}
+	return changed
+}
+
+// lapse removes the entries whose writers have not returned in time.
+func (m *Mirror) lapse(now time.Time) bool {
+	changed := false
 	for key, at := range m.lapsed {
 		if !now.Before(at) {
 			delete(m.lapsed, key)
@@ -359,10 +432,14 @@
 			changed = true
 		}
 	}
-	if changed {
+	return changed
+}
+
+// expire lapses entries while the store does not answer.
+func (m *Mirror) expire(now time.Time) {
+	if m.lapse(now) {
 		m.opts.Changed(maps.Clone(m.image))
 	}
-	return changed
 }
 
 // returnUntil is until when an entry that was removed may come back.
--- a/io/mirror/trouble_test.go
+++ b/io/mirror/trouble_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // trouble is how a troubled store treats the calls that come while it lasts.
@@ -27,10 +30,17 @@
 	passing
 )
 
+// troubles is how many kinds there are.
+const troubles = int(passing) + 1
+
 const (
 	// sitesWait and sitesPace are those of the platform's settings.
 	sitesWait = 800 * time.Millisecond
 	sitesPace = 700 * time.Millisecond
+	// drawnSlowTime is how late a slow store answers in a drawn series.
+	drawnSlowTime = 600 * time.Millisecond
+	// longestTrouble bounds one trouble of a drawn series.
+	longestTrouble = 1500 * time.Millisecond
 	// seenWithin is the bound on how late a change is seen by a mirror that reaches
 	// the store.
 	seenWithin = 2 * time.Second
@@ -133,6 +143,73 @@
 	}
 }
 
+func (s *troubledStore) content() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := make(map[string]string, len(s.items))
+	for key, it := range s.items {
+		text[key] = string(it.Value)
+	}
+	return text
+}
+
+// change puts or removes a few keys; the operator's key is never removed.
+func (s *troubledStore) change(rng *rand.Rand, n int) {
+	s.put("op/config", fmt.Sprint(n))
+	for range rng.IntN(4) {
+		key := fmt.Sprintf("servers/%02d", rng.IntN(40))
+		if rng.IntN(3) == 0 {
+			s.remove(key)
+			continue
+		}
+		s.put(key, fmt.Sprint(n))
+	}
+}
+
+// TestImageEqualsStoreAfterTroubles: whatever the store did, within the bound after
+// its last trouble the image has all that the store has. What was removed is kept
+// for lapsedTime at most, as its writer may return.
+func TestImageEqualsStoreAfterTroubles(t *testing.T) {
+	const seeds = 400
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playTroubles(t, rand.New(rand.NewPCG(seed, 0))) })
+		})
+	}
+}
+
+func playTroubles(t *testing.T, rng *rand.Rand) {
+	s := &troubledStore{fakeStore: newFakeStore(), slowTime: drawnSlowTime}
+	s.pageMost = 1 + rng.IntN(30)
+	s.change(rng, 0)
+	m, image := followAll(t, s)
+	var told []string
+	began := time.Now()
+	for n := range 4 + rng.IntN(20) {
+		tr := trouble(rng.IntN(troubles))
+		told = append(told, fmt.Sprintf("%v:%d", time.Since(began), tr))
+		s.set(func() { s.trouble = tr })
+		time.Sleep(time.Duration(rng.Int64N(int64(longestTrouble))))
+		s.change(rng, n+1)
+		if rng.IntN(3) == 0 {
+			s.compact()
+			told = append(told, fmt.Sprintf("%v:compact", time.Since(began)))
+		}
+		if rng.IntN(4) == 0 {
+			m.Refresh()
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(longestTrouble / 5))))
+	}
+	s.set(func() { s.trouble = sound })
+	time.Sleep(seenWithin)
+	want, got := s.content(), image()
+	for key, value := range want {
+		require.Equal(t, value, got[key], "%s %v after the last trouble; troubles: %v", key, seenWithin, told)
+	}
+	time.Sleep(lapsedTime + sitesPace)
+	assert.Equal(t, want, image(), "after removed entries have lapsed; troubles: %v", told)
+}
+
 // TestWatchThatPassesChangeBy: a watch that waited while a change was made answers
 // without it and goes on past it. No other process tells of it.
 func TestWatchThatPassesChangeBy(t *testing.T) {
@@ -151,6 +228,59 @@
 	})
 }
 
+// TestSilentReadIsNotWaitedFor: while everything is read the store falls silent; the
+// calls that it left without an answer are not waited for when it is back.
+func TestSilentReadIsNotWaitedFor(t *testing.T) {
+	for after := 4 * time.Second; after < 12*time.Second; after += 500 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &troubledStore{fakeStore: newFakeStore(), trouble: silent}
+				s.put("op/config", "1")
+				_, image := followAll(t, s)
+				time.Sleep(after)
+				s.set(func() { s.trouble = sound })
+				time.Sleep(seenWithin)
+				assert.Equal(t, map[string]string{"op/config": "1"}, image())
+			})
+		})
+	}
+}
+
+// TestLongWatchAnswer: a watch whose answer takes longer than its wait, as after long
+// outages of a large list, is not thrown away and asked for again forever.
+func TestLongWatchAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &troubledStore{fakeStore: newFakeStore(), slowTime: 1500 * time.Millisecond}
+		s.put("op/config", "1")
+		_, image := followAll(t, s)
+		eventually(t, map[string]string{"op/config": "1"}, image)
+		s.set(func() { s.trouble = slow })
+		s.put("op/config", "2")
+		time.Sleep(sitesPace + 2*s.slowTime)
+		assert.Equal(t, map[string]string{"op/config": "2"}, image())
+	})
+}
+
+// TestRemovedEntryLapsesWhileStoreIsSilent: an entry that was kept for its writer to
+// return goes in time, though the store does not answer.
+func TestRemovedEntryLapsesWhileStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &troubledStore{fakeStore: newFakeStore()}
+		s.put("servers/a", "1")
+		_, image := followAll(t, s)
+		eventually(t, map[string]string{"servers/a": "1"}, image)
+		s.set(func() { s.trouble = refusing })
+		time.Sleep(sitesWait + sitesPace + retryMost)
+		s.remove("servers/a")
+		s.set(func() { s.trouble = sound })
+		time.Sleep(2 * retryMost)
+		assert.Len(t, image(), 1, "its writer may return")
+		s.set(func() { s.trouble = silent })
+		time.Sleep(seenWithin)
+		assert.Empty(t, image())
+	})
+}
+
 // TestRevisionsWithoutChanges: a store that counts revisions for what is no change of
 // a key is seldom read in whole for it.
 func TestRevisionsWithoutChanges(t *testing.T) {
