soak: tell when the process that checks did not run

Cause: processes were not run. A caller ends its own wait at 5 s, so that it notes a later answer only if its own process was late.

Change: a ticker of 10 ms in the soak finds the times in which it stood still; the report names the longest, and a late answer the longest while it lasted. What is checked is the same.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,9 @@
 	Requests int            `json:"requests"`
 	Statuses map[int]int    `json:"statuses"`
 	Faults   map[string]int `json:"faults"`
+	// LongestGapMS is the longest time in which the process that runs the callers and
+	// checks did not run: of what is late by less, the fleet may not be the cause.
+	LongestGapMS int64 `json:"longest-gap-ms"`
 	// Broken are the promises that were broken, with what was seen.
 	Broken []string `json:"broken,omitempty"`
 }
@@ -59,6 +62,7 @@
 	opts    Options
 	f       *fleet
 	callers *callers
+	gaps    gaps
 
 	mu      sync.Mutex
 	version int
@@ -86,6 +90,7 @@
 	s.callers = &callers{f: s.f}
 	calling, stopCalling := context.WithCancel(ctx)
 	defer stopCalling()
+	go s.gaps.run(calling)
 	var wg sync.WaitGroup
 	for n := range opts.Callers {
 		seed := rnd.Uint64()
@@ -272,7 +277,8 @@
 		s.breach("%s %s was answered %d and ran at %s", o.path, o.attempt, o.status, runs[0].Instance)
 	}
 	if late := o.endedAt.Sub(o.sentAt); o.status != 0 && late > callTime+time.Second {
-		s.breach("%s %s was answered after %s", o.path, o.attempt, late)
+		s.breach("%s %s was answered by %s after %s; the caller's process did not run for up to %s meanwhile",
+			o.path, o.attempt, o.router, late, s.gaps.longest(o.sentAt, o.endedAt))
 	}
 }
 
@@ -280,6 +286,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := Report{Seed: s.opts.Seed, Statuses: make(map[int]int), Faults: s.faults, Broken: s.broken}
+	r.LongestGapMS = s.gaps.longest(time.Time{}, time.Now()).Milliseconds()
 	for _, o := range s.callers.all() {
 		r.Requests++
 		r.Statuses[o.status]++
