--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -16,19 +16,34 @@
 // ErrCompacted says that the store no longer has the history that was asked for.
 var ErrCompacted = errors.New("history is gone")
 
-var errRefresh = errors.New("everything is to be read again")
+var (
+	errRefresh = errors.New("everything is to be read again")
+	errSilent  = errors.New("no answer in time")
+)
 
 const (
-	// readTime bounds the read of one page, and twice as long after each failure up
-	// to readMost: a page that a busy store has sent in part is not thrown away.
-	readTime = time.Second
-	readMost = 4 * time.Second
-	// retryFirst and retryMost are the pauses after failed calls.
+	// readTime is how long the read of a page may take, and watchSlack how much longer
+	// than its wait a watch may, until it counts as silent; the store answers in some
+	// ms when it is well.
+	readTime   = time.Second
+	watchSlack = 300 * time.Millisecond
+	// callMost bounds a silent call: what a busy store has sent in part is not thrown
+	// away at once.
+	callMost = 4 * time.Second
+	// besideTime bounds the calls that are made beside a silent one, one at a time.
+	besideTime = time.Second
+	// retryFirst and retryMost are the pauses after failed calls: the longest, half of
+	// it longer by chance, is below the two seconds in which changes are in force.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = time.Second
+	retryMost  = 600 * time.Millisecond
 	// returnTime is how long after an outage the entries of live writers may take
 	// to come back: the platform says two seconds.
 	returnTime = 2200 * time.Millisecond
+	// checkFirst and checkMost are the pauses between reads of everything that found
+	// nothing new, though the store's revision told of a change: a store that counts
+	// what is no change of a key costs little more than one that does not.
+	checkFirst = time.Second
+	checkMost  = 8 * time.Second
 	// lapsedTime bounds how long a removed entry is kept after an outage: below the
 	// time in which a removed endpoint must get no more requests.
 	lapsedTime = 1500 * time.Millisecond
@@ -61,7 +76,9 @@
 
 // Options are the parts of a mirror.
 type Options struct {
-	Store  Store
+	Store Store
+	// Prefix covers the keys. An empty one covers the whole store, so that each new
+	// revision is that of a change which a watch has to tell of.
 	Prefix string
 	// Wait is how long a watch waits for a change. A watch may fall silent for good
 	// while new ones work, so that it bounds how late a change is seen.
@@ -88,6 +105,17 @@
 	reading *reading
 	// refresh has everything read again.
 	refresh chan struct{}
+	// again says that everything is to be read again at once.
+	again bool
+	// passed says that a watch went on past a change that it did not tell of.
+	passed bool
+	// checkAt is when everything may be read again for it, checkPause the last pause
+	// between two such reads, and checking says that one is in progress.
+	checkAt    time.Time
+	checkPause time.Duration
+	checking   bool
+	// newer says that something was newer than the image since it was set to false.
+	newer bool
 	// lostAt and backAt tell of the last outage.
 	lostAt, backAt time.Time
 	known          bool
@@ -100,10 +128,8 @@
 	// revision is that of the first page: later ones are of other moments.
 	revision int64
 	after    string
-	// within is the time for the next page, got says that one has come since the last
-	// failure.
-	within time.Duration
-	got    bool
+	// got says that a page has come since the last failure.
+	got bool
 }
 
 // New returns an empty mirror.
@@ -130,13 +156,16 @@
 		err := m.step(ctx)
 		if err == nil {
 			pause = retryFirst
-			m.sleep(ctx, m.opts.Pace)
+			if !m.due() {
+				m.sleep(ctx, m.opts.Pace)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		m.lost(err)
+		m.expire(time.Now())
 		if m.reading != nil && m.reading.got {
 			pause, m.reading.got = retryFirst, false
 		}
@@ -154,53 +183,147 @@
 	}
 }
 
+// due says that everything is to be read without a pause: what the image lacks may
+// have changed long ago.
+func (m *Mirror) due() bool {
+	return m.again || m.passed && !time.Now().Before(m.checkAt)
+}
+
 // step reads everything, or waits for a change.
 func (m *Mirror) step(ctx context.Context) error {
+	if m.passed && !time.Now().Before(m.checkAt) {
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("watch passed a change by, reading all")
+		m.next, m.passed, m.checking, m.newer = 0, false, true, false
+	}
 	if m.next == 0 {
+		m.again = false
 		return m.readAll(ctx)
 	}
 	wait := m.opts.Wait
 	if at, ok := m.nextLapse(); ok {
-		wait = max(time.Until(at), time.Millisecond)
+		wait = min(wait, max(time.Until(at), time.Millisecond))
 	}
 	items, next, err := m.watch(ctx, wait)
 	if errors.Is(err, errRefresh) {
 		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("change missed, reading all")
-		m.next = 0
+		m.next, m.again = 0, true
 		return nil
 	}
 	if errors.Is(err, ErrCompacted) {
 		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.next).Msg("store history lost, reading all")
-		m.next = 0
+		m.next, m.again = 0, true
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	m.back()
+	m.notePassed(items, next)
 	m.next = max(next, m.next)
 	m.apply(items)
 	return nil
 }
 
+// notePassed looks for a change that the answer of a watch has left out: its
+// revision is counted, but none of the items bears it.
+func (m *Mirror) notePassed(items []Item, next int64) {
+	last := m.next
+	for _, it := range items {
+		last = max(last, it.Revision)
+	}
+	m.passed = m.passed || m.opts.Prefix == "" && next > last
+}
+
+// checked sets when everything may be read again for a change that a watch has
+// passed by: at once if the last such read has found one.
+func (m *Mirror) checked() {
+	if !m.checking {
+		return
+	}
+	m.checking = false
+	if m.newer {
+		m.checkPause, m.checkAt = 0, time.Time{}
+		return
+	}
+	m.checkPause = min(max(2*m.checkPause, checkFirst), checkMost)
+	m.checkAt = time.Now().Add(m.checkPause)
+}
+
+// changes are the answer of a watch.
+type changes struct {
+	items []Item
+	next  int64
+}
+
 // watch waits for a change or until everything is to be read again.
 func (m *Mirror) watch(ctx context.Context, wait time.Duration) ([]Item, int64, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
+	prefix, after := m.opts.Prefix, m.next
+	got, err := beside(ctx, m, wait+watchSlack, m.refresh, func(ctx context.Context, again bool) (changes, error) {
+		wait := wait
+		if again {
+			wait = time.Millisecond
+		}
+		items, next, err := m.opts.Store.Watch(ctx, prefix, after, wait)
+		return changes{items, next}, err
+	})
+	return got.items, got.next, err
+}
+
+// beside makes a call and returns its answer. While the call is silent others are
+// made beside it, as a connection may be silent for good while new ones work; the
+// first answer counts. It ends with errRefresh if that is asked for meanwhile.
+func beside[T any](
+	ctx context.Context, m *Mirror, patience time.Duration, refresh <-chan struct{},
+	call func(ctx context.Context, again bool) (T, error),
+) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience+callMost)
+	defer cancel()
+	answers := make(chan answer)
+	open := 0
+	bounded := func(again bool) (T, error) {
+		if !again {
+			return call(ctx, again)
+		}
+		ctx, cancel := context.WithTimeout(ctx, besideTime)
+		defer cancel()
+		return call(ctx, again)
+	}
+	begin := func(again bool) {
+		open++
+		go func() {
+			value, err := bounded(again)
+			select {
+			case answers <- answer{value, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	begin(false)
+	silent := time.NewTimer(patience)
+	defer silent.Stop()
+	var none T
+	for {
 		select {
-		case <-done:
-		case <-m.refresh:
-			cancel(errRefresh)
+		case a := <-answers:
+			open--
+			if a.err == nil || errors.Is(a.err, ErrCompacted) || open == 0 {
+				return a.value, a.err
+			}
+		case <-silent.C:
+			m.lost(errSilent)
+			m.expire(time.Now())
+			begin(true)
+			silent.Reset(besideTime)
+		case <-refresh:
+			return none, errRefresh
+		case <-ctx.Done():
+			return none, errSilent
 		}
-	}()
-	items, next, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.next, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errRefresh) {
-		return nil, 0, errRefresh
 	}
-	return items, next, err
 }
 
 func (m *Mirror) readAll(ctx context.Context) error {
@@ -223,23 +346,23 @@
 	first := !m.known
 	m.known = true
 	if changed := m.apply(items); !changed && first {
-		m.opts.Changed(maps.Clone(m.image), !m.known)
+		m.tell()
 	}
+	m.checked()
 	return nil
 }
 
 // readPages reads the pages that are missing.
 func (m *Mirror) readPages(ctx context.Context) error {
 	if m.reading == nil {
-		m.reading = &reading{within: readTime}
+		m.reading = &reading{}
 	}
 	for r := m.reading; ; {
 		page, err := m.readPage(ctx, r)
 		if err != nil {
-			r.within = min(2*r.within, readMost)
 			return err
 		}
-		r.within, r.got = readTime, true
+		r.got = true
 		if !m.known {
 			// A part of the list is better than none: it may take long to read.
 			m.apply(page.Items)
@@ -256,9 +379,10 @@
 }
 
 func (m *Mirror) readPage(ctx context.Context, r *reading) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.within)
-	defer cancel()
-	return m.opts.Store.Page(ctx, m.opts.Prefix, r.after)
+	prefix, after := m.opts.Prefix, r.after
+	return beside(ctx, m, readTime, nil, func(ctx context.Context, _ bool) (Page, error) {
+		return m.opts.Store.Page(ctx, prefix, after)
+	})
 }
 
 // apply takes in changes and tells of them; it returns whether there were any.
@@ -270,6 +394,8 @@
 			// Read before what is known already.
 			continue
 		}
+		_, held := m.image[it.Key]
+		m.newer = m.newer || it.Revision > m.revisions[it.Key] && (held || it.Value != nil)
 		m.revisions[it.Key] = it.Revision
 		if it.Value != nil {
 			delete(m.lapsed, it.Key)
@@ -277,7 +403,8 @@
 			m.image[it.Key] = it.Value
 			continue
 		}
-		if _, held := m.image[it.Key]; !held {
+		if !held {
+			delete(m.revisions, it.Key)
 			continue
 		}
 		if until := m.returnUntil(now); now.Before(until) {
@@ -288,6 +415,16 @@
 		delete(m.revisions, it.Key)
 		changed = true
 	}
+	changed = m.lapse(now) || changed
+	if changed {
+		m.tell()
+	}
+	return changed
+}
+
+// lapse removes the entries whose writers have not returned in time.
+func (m *Mirror) lapse(now time.Time) bool {
+	changed := false
 	for key, at := range m.lapsed {
 		if !now.Before(at) {
 			delete(m.lapsed, key)
@@ -296,12 +433,19 @@
 			changed = true
 		}
 	}
-	if changed {
-		m.opts.Changed(maps.Clone(m.image), !m.known)
-	}
 	return changed
 }
 
+// expire lapses entries while the store does not answer.
+func (m *Mirror) expire(now time.Time) {
+	if m.lapse(now) {
+		m.tell()
+	}
+}
+
+// tell passes on a copy.
+func (m *Mirror) tell() { m.opts.Changed(maps.Clone(m.image), !m.known) }
+
 // returnUntil is until when an entry that was removed may come back.
 func (m *Mirror) returnUntil(now time.Time) time.Time {
 	if m.backAt.IsZero() {
