mirror: take no silent connection for an outage of the store

Callers were sent to endpoints that had gone. Cause: since calls are made beside a silent one, the silence counted as an outage at once, also of one connection or of answers that take 0.3 s; after an outage removed entries are kept for up to 1.5 s, as their writers may return. An outage is now what a second call beside the silent one has not ended either.

Evidence: TestSilentConnectionIsNoOutage failed before (the removed entry was kept) and passes.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -305,6 +305,7 @@
 	begin(false)
 	silent := time.NewTimer(patience)
 	defer silent.Stop()
+	asked := false
 	var none T
 	for {
 		select {
@@ -314,7 +315,11 @@
 				return a.value, a.err
 			}
 		case <-silent.C:
-			m.lost(errSilent)
+			if asked {
+				// Only a call beside it tells a silent store from a silent connection.
+				m.lost(errSilent)
+			}
+			asked = true
 			m.expire(time.Now())
 			begin(true)
 			silent.Reset(besideTime)
--- a/io/mirror/trouble_test.go
+++ b/io/mirror/trouble_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -296,3 +297,33 @@
 		s.set(func() { assert.LessOrEqual(t, s.ranges, minute/int(checkMost.Seconds())+6) })
 	})
 }
+
+// hungStore never answers its first watch; all other calls work.
+type hungStore struct {
+	*fakeStore
+	hung atomic.Bool
+}
+
+func (s *hungStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+	if s.hung.CompareAndSwap(false, true) {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.fakeStore.Watch(ctx, prefix, after, wait)
+}
+
+// A connection that is silent while others work is no outage of the store: an entry
+// that is removed then is gone at once, and not waited for as one that may return.
+func TestSilentConnectionIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &hungStore{fakeStore: newFakeStore()}
+		s.put("p/a", "1")
+		s.put("p/b", "1")
+		_, image := follow(t, s)
+		eventually(t, map[string]string{"p/a": "1", "p/b": "1"}, image)
+		s.remove("p/b")
+		// The wait of the watch that follow asks for, and until it counts as silent.
+		time.Sleep(50*time.Millisecond + watchSlack + 100*time.Millisecond)
+		assert.Equal(t, map[string]string{"p/a": "1"}, image())
+	})
+}
