relay: ask at once for a load where all agents are followed

Not traced in logs; suspected: entries outlast endpoints that are gone, and each request for what they held waits for them first.

--- a/core/relay/wants.go
+++ b/core/relay/wants.go
@@ -53,16 +53,15 @@
 	return s.want(r, engine)
 }
 
-// unconfirmed says whether an endpoint that holds what a request needs is about to
-// be confirmed, or may still come with the rest of the list: agents connect one after
-// the other, and one that is early must not be asked for what others hold. An adapter
-// is loaded at once where a holder of its model has its agent.
+// unconfirmed says whether an endpoint that holds what a request needs by the list
+// is about to be confirmed, or may still come with the rest of the list. Where all
+// agents are followed, the holder's report tells more than its entry.
 func (s *State) unconfirmed(r *request) bool {
-	if r.Item.Adapter != "" && s.holderLives(wantKey{r.Service, r.Item}) {
-		return false
+	if s.now.Before(s.listBy) {
+		return true
 	}
-	return s.now.Before(s.listBy) || slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
-		return !e.Leaving && !e.confirmed(s.now) && !slices.Contains(r.avoid, e.Instance)
+	return s.partial() && slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
+		return !e.Leaving && e.Stock.Holds(r.Item) && !e.confirmed(s.now) && !slices.Contains(r.avoid, e.Instance)
 	})
 }
 
