relayd: log the rate limit that an endpoint names

The line for an attempt now has the header as received. No decision reads it yet.

go test ./platform ./io/relayd ./core/relay: ok.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -103,6 +103,15 @@
 	Abandoned Result = "abandoned"
 )
 
+// RateLimit is the rate limit that an endpoint names in an answer.
+type RateLimit struct {
+	// Named reports whether the answer names a limit.
+	Named bool
+	// PerSecond is the number of requests per second that the endpoint accepts from all
+	// routers together.
+	PerSecond float64
+}
+
 // AttemptEnded reports that an attempt has ended, and its outcome.
 type AttemptEnded struct {
 	ID     RequestID
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -68,6 +68,8 @@
 	// weightsVersion is the version of the weights that generated the last answer; 0 if
 	// unknown.
 	weightsVersion int64
+	// limitHeader is the header with the rate limit in the last answer, for the log.
+	limitHeader string
 	// failedAnswer is the last answer with a server error that an endpoint sent. The effect
 	// relay.DeliverFailure forwards it.
 	failedAnswer *bufferedAnswer
@@ -155,6 +157,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	startedAt := time.Now()
+	x.limitHeader = ""
 	x.logSend(send)
 	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
 	defer cancel()
@@ -263,6 +266,7 @@
 	if err != nil {
 		return conns.IdleTimeout{}, err
 	}
+	x.limitHeader = info.LimitHeader
 	keep := conns.IdleTimeoutOf(resp)
 	if info.Result != "" {
 		ended.Result = info.Result
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -63,6 +63,10 @@
 	Foreign bool
 	// WeightsVersion is the version of the weights that generated the answer; 0 if unknown.
 	WeightsVersion int64
+	// Limit is the rate limit that the endpoint names. LimitHeader is the header with it as
+	// received, for the log; empty if there is none.
+	Limit       relay.RateLimit
+	LimitHeader string
 }
 
 // HeaderCodec defines the headers that the platform uses in requests and answers. Its methods
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -51,10 +51,14 @@
 // logAttempt logs and counts the result of an attempt. err is the cause of a failure.
 func (x *exchange) logAttempt(send relay.Send, ended relay.AttemptEnded, startedAt time.Time, err error) {
 	x.d.meters.countAttempt(ended.Result)
-	x.d.log.Info().Str("request", x.request.AttemptID).Int("try", send.Try).Str("endpoint", send.Instance).
+	line := x.d.log.Info().Str("request", x.request.AttemptID).Int("try", send.Try).Str("endpoint", send.Instance).
 		Int64("took-ms", time.Since(startedAt).Milliseconds()).
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
-		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err).Msg("attempt")
+		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err)
+	if x.limitHeader != "" {
+		line = line.Str("limit", x.limitHeader)
+	}
+	line.Msg("attempt")
 }
 
 // logWait logs what a queued request waits for.
