--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,85 @@
+// Package quota divides the rate limit that an endpoint names among the routers that send
+// requests to it. One agent, the limit's granter, keeps a Schedule for the endpoint and grants
+// each router a permit for one request at a time, so that the number of routers need not be
+// known.
+package quota
+
+import "time"
+
+const (
+	// Lifetime is the time after its start in which a permit may be used. A permit that is not
+	// used in time is lost, so that a router that was held up never sends a backlog.
+	Lifetime = 300 * time.Millisecond
+	// Horizon is the longest time for which a permit is granted in advance. A granter that takes
+	// over does not know the permits of its predecessor; a second's worth of them fits into the
+	// tolerance of a limit.
+	Horizon = time.Second
+	// patientHorizon is Horizon for requests that are not urgent. The difference is kept for
+	// urgent ones while all routers ask for more than the limit.
+	patientHorizon = Horizon / 2
+	// maxUrgentInRow is the number of successive permits for urgent requests after which others
+	// are treated alike, so that they are not starved.
+	maxUrgentInRow = 3
+	// burst is the number of permits that start at once after an idle period.
+	burst = 2
+	// minPerSecond is the lowest rate that is used. An endpoint that gets no requests can't end
+	// its limit.
+	minPerSecond = 0.1
+)
+
+// Schedule assigns start times to the requests that all routers together send to one endpoint.
+// The zero value is ready for use. It is not safe for concurrent use.
+type Schedule struct {
+	// next is the start of the next permit if the endpoint is not idle.
+	next time.Time
+	// urgentInRow is the number of successive permits for urgent requests.
+	urgentInRow int
+}
+
+// Ask describes the request that a permit is asked for.
+type Ask struct {
+	// PerSecond is the endpoint's limit as known to the asker.
+	PerSecond float64
+	// Urgent reports whether the request has the highest priority.
+	Urgent bool
+	// Latest is the latest start that is of use.
+	Latest time.Time
+}
+
+// Reserve grants a permit and returns its start. If the next possible start is too late, it
+// grants none and returns that start and false.
+func (s *Schedule) Reserve(now time.Time, ask Ask) (time.Time, bool) {
+	interval := intervalOf(ask.PerSecond)
+	if idleStart := now.Add(-(burst - 1) * interval); s.next.Before(idleStart) {
+		s.next = idleStart
+	}
+	start := s.next
+	if start.Before(now) {
+		start = now
+	}
+	horizon := patientHorizon
+	if ask.Urgent || s.urgentInRow >= maxUrgentInRow {
+		horizon = Horizon
+	}
+	if start.After(ask.Latest) || start.After(now.Add(horizon)) {
+		return start, false
+	}
+	s.next = s.next.Add(interval)
+	s.urgentInRow++
+	if !ask.Urgent {
+		s.urgentInRow = 0
+	}
+	return start, true
+}
+
+// Delay keeps the schedule from granting a permit that starts before at.
+func (s *Schedule) Delay(at time.Time) {
+	if s.next.Before(at) {
+		s.next = at
+	}
+}
+
+// intervalOf returns the time between two permits at a rate in requests per second.
+func intervalOf(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
+}
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -35,13 +35,16 @@
 // or nil if there is none. The cost is the estimated time to first event with penalties.
 func (s *State) choose(r *request) (*endpoint, Basis) {
 	var best *endpoint
-	leastCost, candidates := 0.0, 0
+	leastCost, candidates, unlimited := 0.0, 0, 0
 	cachedInstance, cachedTokens := s.promptIndex.cachedTokens(r)
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
-		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) {
+		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || e.outOfPermits(s.now) {
 			continue
 		}
 		candidates++
+		if !e.limit.InForce() {
+			unlimited++
+		}
 		prefillTokens := r.TokensIn
 		if e.Instance == cachedInstance {
 			prefillTokens -= cachedTokens
@@ -53,14 +56,24 @@
 	if best == nil {
 		return nil, Basis{}
 	}
+	basis := s.basisOf(best, candidates, leastCost)
+	basis.UnlimitedCandidates = unlimited
+	return best, basis
+}
+
+// basisOf returns the inputs of the selection of an endpoint with the cost in ms.
+func (s *State) basisOf(e *endpoint, candidates int, costMS float64) Basis {
 	basis := Basis{
-		Candidates: candidates, Cost: time.Duration(leastCost * float64(time.Millisecond)),
-		Load: best.requestCount(), ReportedAt: best.reportedAt,
+		Candidates: candidates, Cost: time.Duration(costMS * float64(time.Millisecond)),
+		Load: e.requestCount(), ReportedAt: e.reportedAt,
+	}
+	if e.limit.InForce() {
+		basis.Limit = e.limit.PerSecond
 	}
 	if s.table != nil {
 		basis.Routes = s.table.Version
 	}
-	return best, basis
+	return basis
 }
 
 // canServe reports whether the endpoint is usable for the request, even if it is full at
@@ -106,6 +119,9 @@
 	if s.now.Before(e.ejectedUntil) {
 		cost += ejectedCostMS
 	}
+	if e.limit.InForce() {
+		cost += askCostMS
+	}
 	if r.Item.Model == "" {
 		return cost + float64(e.requestCount())/float64(max(e.Slots, 1))*milliseconds(r.Route.Objective)
 	}
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 )
 
@@ -34,6 +35,9 @@
 	// Urgency is the request's rank in the endpoint's queue, from route.Route.Priority.
 	// The lowest number is the most urgent, 0; negative means no rank.
 	Urgency int
+	// Limited reports whether the endpoint is known to have a rate limit, whose end its answer
+	// may tell.
+	Limited bool
 }
 
 // Kind implements event.Effect.
@@ -46,6 +50,8 @@
 type Basis struct {
 	// Candidates is the number of endpoints that could have served the request at once.
 	Candidates int
+	// UnlimitedCandidates is the number of candidates without a rate limit.
+	UnlimitedCandidates int
 	// Cost is the estimated time to the first part of the answer, including penalties.
 	Cost time.Duration
 	// Load is the number of requests at the endpoint, from all routers.
@@ -54,6 +60,8 @@
 	ReportedAt time.Time
 	// Routes is the version of the routing table in force (route.Table.Version).
 	Routes int64
+	// Limit is the rate limit of the endpoint, in requests per second; 0 if it has none.
+	Limit float64
 }
 
 // Wait reports what a queued request waits for. It is emitted when the request is queued
@@ -95,6 +103,9 @@
 	// AttemptsFailed means that the route's maximum number of attempts may have run, and
 	// all of them failed.
 	AttemptsFailed Reason = "attempts-failed"
+	// RateLimited means that the rate limits of the endpoints leave no room before the caller
+	// leaves.
+	RateLimited Reason = "rate-limited"
 	// Stopping means that the router is shutting down.
 	Stopping Reason = "stopping"
 )
@@ -177,3 +188,45 @@
 
 // Routine implements event.Routine.
 func (SendDemand) Routine() {}
+
+// AskPermit asks an agent for a permit to send a request to a limited endpoint. The answer comes
+// as PermitAnswered.
+type AskPermit struct {
+	ID RequestID
+	// Number identifies the ask.
+	Number uint64
+	// Granter is the endpoint whose agent grants the permits.
+	Granter string
+	// Limit is the limit of the endpoint that the request is for.
+	Limit stock.EndpointLimit
+	Ask   quota.Ask
+}
+
+// Kind implements event.Effect.
+func (AskPermit) Kind() string { return "relay-ask-permit" }
+
+// Routine implements event.Routine.
+func (AskPermit) Routine() {}
+
+// ReportLimit tells an agent the limit of an endpoint, or its end, so that other routers learn
+// of it.
+type ReportLimit struct {
+	// Granter is the endpoint whose agent is told.
+	Granter string
+	Limit   stock.EndpointLimit
+}
+
+// Kind implements event.Effect.
+func (ReportLimit) Kind() string { return "relay-report-limit" }
+
+// LimitChanged reports that the known limit of an endpoint has changed, for the log.
+type LimitChanged struct {
+	Endpoint string
+	// Before and Now are the limits before and after the change.
+	Before, Now stock.EndpointLimit
+	// Source is the agent that told the change, by its endpoint; empty if an answer did.
+	Source string
+}
+
+// Kind implements event.Effect.
+func (LimitChanged) Kind() string { return "relay-limit-changed" }
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 )
 
@@ -70,6 +71,15 @@
 	listedStock stock.Report
 	// lastDemand is the demand last sent to the agent; zero if the agent is not connected.
 	lastDemand stock.Demand
+	// limit is the latest known rate limit of the endpoint. limitedUntil is the time until which
+	// it is of no use to ask for a permit, nextPermitAt the start of the next permit.
+	limit                      stock.EndpointLimit
+	limitedUntil, nextPermitAt time.Time
+	// ownSchedule is the router's own share of the limit, for times without a granter.
+	ownSchedule quota.Schedule
+	// askAgainAt is the time until which the endpoint's agent is not asked for permits, as it
+	// did not answer.
+	askAgainAt time.Time
 }
 
 func newEndpoint(m EndpointEntry, now time.Time) *endpoint {
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -112,6 +112,53 @@
 	PerSecond float64
 }
 
+// LimitObserved reports the rate limit that the answer to the attempt in progress names, or that
+// it names none. It need not be reported for answers without a limit unless Send.Limited was set.
+type LimitObserved struct {
+	ID RequestID
+	// Try is the number of the attempt.
+	Try   int
+	Limit RateLimit
+}
+
+// Kind implements event.Event.
+func (LimitObserved) Kind() string { return "relay-limit" }
+
+// Routine implements event.Routine.
+func (LimitObserved) Routine() {}
+
+// PermitAnswered carries the answer to an AskPermit.
+type PermitAnswered struct {
+	ID RequestID
+	// Number is AskPermit.Number.
+	Number uint64
+	// Result is the answer.
+	Result PermitResult
+	// StartAt is the start of the permit, or of the next possible one if it was denied.
+	StartAt time.Time
+	// ExpiresAt is the time until which the permit must be used.
+	ExpiresAt time.Time
+}
+
+// Kind implements event.Event.
+func (PermitAnswered) Kind() string { return "relay-permit" }
+
+// Routine implements event.Routine.
+func (PermitAnswered) Routine() {}
+
+// PermitResult is the answer to an ask for a permit.
+type PermitResult string
+
+// Results of asks for permits.
+const (
+	// PermitGranted means that one request may be sent.
+	PermitGranted PermitResult = "granted"
+	// PermitDenied means that there is no permit that is of use to the request.
+	PermitDenied PermitResult = "denied"
+	// PermitUnanswered means that the granter did not answer in time.
+	PermitUnanswered PermitResult = "unanswered"
+)
+
 // AttemptEnded reports that an attempt has ended, and its outcome.
 type AttemptEnded struct {
 	ID     RequestID
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -45,6 +45,9 @@
 // reason why it can't be served. It requests the load of the model or adapter if necessary.
 func (s *State) expectedSendTime(r *request) (time.Time, Reason) {
 	engine := s.table.Engine(r.Service)
+	if at, limited := s.permitsLeftAt(r); limited {
+		return s.limitedSendTime(r, engine, at), ""
+	}
 	if slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool { return s.canServe(e, r) }) {
 		// All endpoints are full. One of their requests is likely to end soon.
 		return s.now, ""
@@ -59,6 +62,20 @@
 	return s.joinOrRequestLoad(r, engine)
 }
 
+// limitedSendTime returns the time at which a request is expected to be sent whose endpoints
+// have no permits until permitsAt. If that is too late for the request, another replica is
+// loaded.
+func (s *State) limitedSendTime(r *request, engine *route.Engine, permitsAt time.Time) time.Time {
+	if engine == nil || r.Item.Model == "" || permitsAt.Add(minRunTime).Before(r.callerTimeoutAt()) {
+		return permitsAt
+	}
+	loadedAt, reason := s.joinOrRequestLoad(r, engine)
+	if reason != "" || permitsAt.Before(loadedAt) {
+		return permitsAt
+	}
+	return loadedAt
+}
+
 // awaitsListedHolder reports whether a holder of the requested item is likely to be usable
 // soon, so that no load is needed: an endpoint that is listed as holder and whose agent has
 // not reported yet, or one in the part of the endpoint list that has not been read yet.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -33,6 +33,7 @@
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.Instance, b.Instance) })
 	for _, id := range slices.Sorted(maps.Keys(old)) {
 		s.index.drop(old[id])
+		s.dropLimit(old[id])
 		old[id].Leaving = true
 		s.unassignLoads(id)
 		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
@@ -76,6 +77,7 @@
 	}
 	if e != nil && e.isNewIncarnation(m) {
 		s.abortAttempts(e)
+		s.dropLimit(e)
 		e = nil
 	}
 	if e == nil {
@@ -112,6 +114,7 @@
 	s.updateStock(e, func() { e.applyReport(ev.Report, s.now) })
 	e.hasSparseReports = s.followsSubset()
 	s.retryBudget.routerCount = s.estimateRouters(ev.Report.Routers)
+	s.adoptLimits(ev.Report)
 	s.unassignLoadsIfLeaving(e)
 	s.dispatchWaitingFor(e)
 	if first && s.followsSubset() {
@@ -126,6 +129,7 @@
 		return
 	}
 	s.index.drop(e)
+	s.dropLimit(e)
 	e.Leaving = true
 	s.unassignLoads(e.Instance)
 	s.abortAttempts(e)
--- a/core/relay/replicas.go
+++ b/core/relay/replicas.go
@@ -92,7 +92,8 @@
 		return
 	}
 	t.firstReplica = firstReplicaRequest{}
-	existing, needed := holderCount+summary.loading[loadKey{t.service, item}], replicasFor(t, rate, summary.tokensPerMS)
+	// Limited holders serve only part of the traffic.
+	existing, needed := s.unlimitedHolderCount(t.service, item)+summary.loading[loadKey{t.service, item}], replicasFor(t, rate, summary.tokensPerMS)
 	if existing >= needed {
 		return
 	}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -64,6 +64,8 @@
 	// shutdownEndBy the time at which attempts are aborted. Both are zero if the process is not
 	// shutting down.
 	shutdownSendBy, shutdownEndBy time.Time
+	// lastAskNumber is the number of the last ask for a permit.
+	lastAskNumber uint64
 }
 
 // request is a request in progress.
@@ -99,6 +101,9 @@
 	// endpoint, which can be passed to the caller.
 	endpointFailed bool
 	arrivedAt      time.Time
+	// permit is the permit to send the request to a limited endpoint, or the ask for one; nil if
+	// there is none.
+	permit *permit
 	// notBefore is the earliest time of the next attempt, set after all usable endpoints
 	// have rejected the request.
 	notBefore time.Time
@@ -134,6 +139,10 @@
 		s.handleEndpointsListed(ev)
 	case AgentReported:
 		s.handleAgentReported(ev)
+	case LimitObserved:
+		s.handleLimitObserved(ev)
+	case PermitAnswered:
+		s.handlePermitAnswered(ev)
 	case InstanceChanged:
 		s.handleInstanceChanged(ev)
 	case AgentLost:
@@ -182,9 +191,12 @@
 		s.refuseOrFail(r, UnknownModel, s.now.Add(unknownModelRetryDelay))
 		return
 	}
+	if s.dispatchWithPermit(r) {
+		return
+	}
 	if !s.now.Before(r.notBefore) {
 		if e, basis := s.choose(r); e != nil {
-			s.send(r, e, basis)
+			s.sendOrAskPermit(r, e, basis)
 			return
 		}
 		if r.Item.Model == "" || r.wasShed {
@@ -219,7 +231,7 @@
 // send starts an attempt at e.
 func (s *State) send(r *request, e *endpoint, basis Basis) {
 	s.stopWaiting(r)
-	r.target, r.answerBegan, r.sentAt = e, false, s.now
+	r.target, r.answerBegan, r.sentAt, r.permit = e, false, s.now, nil
 	r.attemptCount++
 	e.addAttempt(r)
 	if r.attemptCount > 1 {
@@ -231,6 +243,7 @@
 		FirstBy: firstBy, MaxGap: maxGap, Once: !r.Route.Idempotent(),
 		ID: r.id, Try: r.attemptCount, Instance: e.Instance, Address: e.Address, Deadline: r.Deadline,
 		LastEvent: r.LastEvent, Version: r.weightsVersion, Urgency: r.Route.Priority, Basis: basis,
+		Limited: e.limit.InForce(),
 	})
 }
 
--- a/core/relay/targets.go
+++ b/core/relay/targets.go
@@ -31,6 +31,9 @@
 	coldModelRate = 1000.0
 )
 
+// alwaysFollowedWeight is the weight of endpoints that are followed independently of the traffic.
+var alwaysFollowedWeight = math.Inf(1)
+
 // followCandidate is an endpoint whose agent may be followed, with the weight by which it
 // competes with others.
 type followCandidate struct {
@@ -44,6 +47,7 @@
 // the requests.
 func (s *State) followTargets() []*endpoint {
 	candidates := append(s.baselineCandidates(), s.loaderCandidates()...)
+	candidates = append(candidates, s.limitedCandidates()...)
 	for _, model := range slices.Sorted(maps.Keys(s.modelTraffic)) {
 		candidates = append(candidates, s.modelCandidates(model, s.modelTraffic[model])...)
 	}
@@ -69,7 +73,7 @@
 			continue
 		}
 		for _, e := range s.index.successors(service, s.cfg.Process, alwaysFollowedPerService) {
-			candidates = append(candidates, followCandidate{e, math.Inf(1)})
+			candidates = append(candidates, followCandidate{e, alwaysFollowedWeight})
 		}
 	}
 	return candidates
@@ -88,7 +92,7 @@
 	var candidates []followCandidate
 	for _, id := range slices.Compact(instances) {
 		if e := s.endpoint(id); e != nil {
-			candidates = append(candidates, followCandidate{e, math.Inf(1)})
+			candidates = append(candidates, followCandidate{e, alwaysFollowedWeight})
 		}
 	}
 	return candidates
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -72,6 +72,9 @@
 	}
 	if reason == "" {
 		reason = TooLate
+		if _, limited := s.permitsLeftAt(r); limited {
+			reason = RateLimited
+		}
 		s.keepLoadForRetryIfInTime(r, readyAt)
 	}
 	s.refuseOrFail(r, reason, s.retryAt(readyAt))
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -77,6 +77,40 @@
 	Copies CachedWeights
 	// Routers is the number of routers connected to the agent.
 	Routers int
+	// Limits are the latest limits of endpoints that routers have told the agent, sorted by
+	// instance. They include limits that have ended recently.
+	Limits []EndpointLimit
+}
+
+// EndpointLimit is the rate limit that an endpoint names in its answers, or its end.
+type EndpointLimit struct {
+	Instance string
+	// PerSecond is the number of requests per second that the endpoint accepts from all routers
+	// together. It has no meaning if Ended is set.
+	PerSecond float64
+	// Ended reports whether the latest answer named no limit.
+	Ended bool
+	// SentAt is the time at which the request was sent whose answer told this, SeenAt the time
+	// at which the answer was received. The endpoint generated it in between.
+	SentAt, SeenAt time.Time
+}
+
+// InForce reports whether requests to the endpoint are limited.
+func (l EndpointLimit) InForce() bool { return !l.SeenAt.IsZero() && !l.Ended }
+
+// Supersedes reports whether l replaces old as the latest limit of the endpoint. Answers may
+// overtake each other: one that allows more counts only if its request was sent after old was
+// received.
+func (l EndpointLimit) Supersedes(old EndpointLimit) bool {
+	if old.InForce() && (l.Ended || l.PerSecond > old.PerSecond) {
+		return !l.SentAt.Before(old.SeenAt)
+	}
+	return l.SeenAt.After(old.SeenAt)
+}
+
+// Equal reports whether l and o tell the same, apart from the time.
+func (l EndpointLimit) Equal(o EndpointLimit) bool {
+	return l.Instance == o.Instance && l.Ended == o.Ended && (l.Ended || l.PerSecond == o.PerSecond)
 }
 
 // Holds reports whether the item is loaded.
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -68,6 +68,8 @@
 	// polledAt is when the last poll was sent; pollInFlight reports whether it is unanswered.
 	polledAt     time.Time
 	pollInFlight bool
+	// limits has the limited endpoints by instance.
+	limits map[string]*limitedEndpoint
 	// publishedReport is the last report sent to routers, publishedAt the time of it.
 	publishedReport stock.Report
 	publishedAt     time.Time
@@ -99,6 +101,7 @@
 		adapterLastUsed:  make(map[stock.Item]time.Time),
 		drainingAdapters: make(map[stock.Item]time.Time),
 		requestedSince:   make(map[stock.Item]time.Time),
+		limits:           make(map[string]*limitedEndpoint),
 	}
 }
 
@@ -123,6 +126,10 @@
 		s.engine = ev.Engine
 	case TokenIssued:
 		s.token = ev.Token
+	case PermitAsked:
+		s.handlePermitAsked(ev)
+	case LimitReported:
+		s.noteLimit(ev.Limit)
 	}
 	s.trackLoadRequests()
 	s.completeOrderIfDone()
@@ -257,10 +264,12 @@
 	r.Routers = len(s.routers)
 	r.Loads = s.expectedLoads()
 	r.Models = s.servableModels()
+	r.Limits = s.reportedLimits()
 	old := &s.publishedReport
 	sinceLast := s.now.Sub(s.publishedAt)
 	changed := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
-		!slices.EqualFunc(r.Models, old.Models, stock.LoadedModel.Equal) || !slices.EqualFunc(r.Loads, old.Loads, sameItem)
+		!slices.EqualFunc(r.Models, old.Models, stock.LoadedModel.Equal) || !slices.EqualFunc(r.Loads, old.Loads, sameItem) ||
+		!slices.EqualFunc(r.Limits, old.Limits, stock.EndpointLimit.Equal)
 	loadChanged := r.Running != old.Running || r.Waiting != old.Waiting
 	minInterval := max(time.Duration(len(s.routers))*reportIntervalPerRouter, s.reportGap())
 	if !changed && (!loadChanged || sinceLast < max(loadReportInterval, minInterval)) && sinceLast < max(maxReportInterval, minInterval) {
--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -69,6 +69,8 @@
 	// demands queues the demand that has not been sent yet.
 	demands chan stock.Demand
 	stop    context.CancelFunc
+	// conn is the connection; nil while there is none.
+	conn atomic.Pointer[wire.Conn]
 }
 
 func newAgentConns(d *Daemon) *agentConns {
@@ -170,6 +172,8 @@
 	if err := s.Send(demandFrame(stock.Demand{})); err != nil {
 		return err
 	}
+	agent.conn.Store(conn)
+	defer agent.conn.Store(nil)
 	go writeDemands(conn, s, agent)
 	return a.receiveReports(conn, s, agent)
 }
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -196,6 +196,12 @@
 		x.d.agents.follow(eff.List)
 	case relay.SendDemand:
 		x.d.agents.sendDemand(eff)
+	case relay.AskPermit:
+		go x.d.agents.askPermit(eff)
+	case relay.ReportLimit:
+		go x.d.agents.reportLimit(eff)
+	case relay.LimitChanged:
+		x.d.logLimitChange(eff)
 	case relay.Wait:
 		x.d.logWait(eff)
 	}
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -266,7 +266,7 @@
 	if err != nil {
 		return conns.IdleTimeout{}, err
 	}
-	x.limitHeader = info.LimitHeader
+	x.reportLimit(send, info)
 	keep := conns.IdleTimeoutOf(resp)
 	if info.Result != "" {
 		ended.Result = info.Result
@@ -278,6 +278,15 @@
 	return keep, nil
 }
 
+// reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
+func (x *exchange) reportLimit(send relay.Send, info AnswerInfo) {
+	x.limitHeader = info.LimitHeader
+	if info.Result == relay.Replaced || !info.Limit.Named && !send.Limited {
+		return
+	}
+	x.d.loop.Post(relay.LimitObserved{ID: x.id, Try: send.Try, Limit: info.Limit})
+}
+
 // encodeRequest returns the HTTP request to the endpoint as bytes.
 func (x *exchange) encodeRequest(send relay.Send) []byte {
 	h := x.r.Header.Clone()
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -42,6 +42,9 @@
 		Int("candidates", send.Basis.Candidates).Int64("expected-ms", send.Basis.Cost.Milliseconds()).
 		Int("load", send.Basis.Load).Int64("routes", send.Basis.Routes).
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds())
+	if send.Basis.Limit > 0 {
+		line = line.Float64("limit", send.Basis.Limit)
+	}
 	if !send.Basis.ReportedAt.IsZero() {
 		line = line.Int64("report-age-ms", time.Since(send.Basis.ReportedAt).Milliseconds())
 	}
@@ -74,3 +77,21 @@
 		Str("endpoint", eff.Instance).Int64("expected-ms", time.Until(eff.ReadyAt).Milliseconds()).
 		Int64("left-ms", time.Until(x.request.Deadline).Milliseconds()).Msg("wait")
 }
+
+// logLimitChange logs and counts a change of an endpoint's rate limit. Rates are in requests per
+// second; none is logged for no limit.
+func (d *Daemon) logLimitChange(eff relay.LimitChanged) {
+	line := d.log.Info().Str("endpoint", eff.Endpoint)
+	if eff.Before.InForce() {
+		line = line.Float64("before", eff.Before.PerSecond).Int64("before-age-ms", time.Since(eff.Before.SeenAt).Milliseconds())
+	}
+	if eff.Now.InForce() {
+		line = line.Float64("now", eff.Now.PerSecond)
+	}
+	d.meters.countLimitChange(eff)
+	if eff.Now.SeenAt.IsZero() {
+		line.Msg("limit of endpoint gone with it")
+		return
+	}
+	line.Int64("age-ms", time.Since(eff.Now.SeenAt).Milliseconds()).Str("told-by", eff.Source).Msg("limit of endpoint changed")
+}
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -17,6 +17,8 @@
 	metricAnswerTime     = "relay.answer-time"
 	metricFirstEventTime = "relay.first-event-time"
 	metricInFlight       = "relay.requests-in-progress"
+	metricLimits         = "relay.limits-in-force"
+	metricLimitChanges   = "relay.limit-changes"
 )
 
 // meters holds the metrics of a router's requests.
@@ -47,6 +49,18 @@
 	metrics.GetOrRegisterCounter(metricAttempts+string(result), m.registry).Inc(1)
 }
 
+// countLimitChange counts a change of an endpoint's rate limit, and the limits in force.
+func (m *meters) countLimitChange(eff relay.LimitChanged) {
+	metrics.GetOrRegisterCounter(metricLimitChanges, m.registry).Inc(1)
+	inForce := metrics.GetOrRegisterCounter(metricLimits, m.registry)
+	if eff.Now.InForce() {
+		inForce.Inc(1)
+	}
+	if eff.Before.InForce() {
+		inForce.Dec(1)
+	}
+}
+
 // recordOutcome counts the outcome of a request and records the time since its arrival.
 func (m *meters) recordOutcome(outcome string, arrivedAt time.Time) {
 	metrics.GetOrRegisterCounter(metricRequests+outcome, m.registry).Inc(1)
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -75,13 +75,17 @@
 	// none yet.
 	routesVersion  int64
 	routesDocument []byte
+	lastAskNumber  uint64
+	// permitAsks has the channel to which the answer to an ask for a permit goes, by the ask's
+	// number.
+	permitAsks map[uint64]chan swap.PermitAnswered
 }
 
 // New returns a daemon. Run must be called to start it.
 func New(opts Options) *Daemon {
 	return &Daemon{
 		opts: opts, log: opts.Log, loop: loop.New(swap.New(), opts.Recorder),
-		reportQueues: make(map[uint64]chan stock.Report),
+		reportQueues: make(map[uint64]chan stock.Report), permitAsks: make(map[uint64]chan swap.PermitAnswered),
 	}
 }
 
@@ -144,7 +148,8 @@
 }
 
 // Serve implements wire.Handler. The first frame determines the use of the stream: a hello, a
-// request for the routes, or the exchange of demands and reports with a router.
+// request for the routes, the limit of an endpoint, an ask for a permit, or the exchange of
+// demands and reports with a router.
 func (d *Daemon) Serve(_ context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
 	defer func() { _ = s.Close() }()
 	if first.GetHello() != nil {
@@ -155,6 +160,14 @@
 		d.sendRoutes(s)
 		return
 	}
+	if l := first.GetEndpointLimit(); l != nil {
+		d.loop.Post(swap.LimitReported{Limit: wire.DecodeLimit(time.Now(), l)})
+		return
+	}
+	if ask := first.GetSendPermitAsk(); ask != nil {
+		d.answerPermitAsk(c, s, ask)
+		return
+	}
 	if first.GetDemand() == nil {
 		return
 	}
@@ -294,6 +307,8 @@
 		go x.d.sendOrder(x.ctx, eff)
 	case swap.Publish:
 		x.d.publish(eff.Report)
+	case swap.PermitAnswered:
+		x.d.passPermitAnswer(eff)
 	}
 }
 
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 	"chervilreach/io/wire/wirepb"
 )
@@ -68,6 +69,7 @@
 				Model: l.Item.Model, Adapter: l.Item.Adapter, RemainingUs: l.ReadyAt.Sub(now).Microseconds(),
 			}
 		}),
+		Limits: lo.Map(r.Limits, func(l stock.EndpointLimit, _ int) *wirepb.EndpointLimit { return EncodeLimit(now, l) }),
 	}
 	if !r.Copies.Equal(last.Copies) || r.Instance != last.Instance {
 		s.Copied = &wirepb.Copied{Memory: r.Copies.Memory, Disk: r.Copies.Disk}
@@ -108,6 +110,9 @@
 		}),
 		Copies: last.Copies,
 	}
+	for _, l := range s.GetLimits() {
+		r.Limits = append(r.Limits, DecodeLimit(now, l))
+	}
 	if c := s.GetCopied(); c != nil {
 		r.Copies = stock.CachedWeights{Memory: c.GetMemory(), Disk: c.GetDisk()}
 	}
@@ -117,5 +122,38 @@
 	return r
 }
 
+// EncodeLimit returns the message for a limit. Times are encoded relative to now.
+func EncodeLimit(now time.Time, l stock.EndpointLimit) *wirepb.EndpointLimit {
+	return &wirepb.EndpointLimit{
+		Instance: l.Instance, PerSecond: l.PerSecond, Ended: l.Ended,
+		SentAgoUs: now.Sub(l.SentAt).Microseconds(), SeenAgoUs: now.Sub(l.SeenAt).Microseconds(),
+	}
+}
+
+// DecodeLimit returns the limit in a message. Times are relative to now, the receiver's time.
+// A rate that is not a number is decoded as 0.
+func DecodeLimit(now time.Time, l *wirepb.EndpointLimit) stock.EndpointLimit {
+	rate := l.GetPerSecond()
+	if !(rate >= 0) {
+		rate = 0
+	}
+	return stock.EndpointLimit{
+		Instance: l.GetInstance(), PerSecond: rate, Ended: l.GetEnded(),
+		SentAt: now.Add(-micros(l.GetSentAgoUs())), SeenAt: now.Add(-micros(l.GetSeenAgoUs())),
+	}
+}
+
+// EncodePermitAsk returns the message that asks for a permit to send a request to the endpoint
+// with the limit l.
+func EncodePermitAsk(now time.Time, l stock.EndpointLimit, ask quota.Ask) *wirepb.SendPermitAsk {
+	return &wirepb.SendPermitAsk{Limit: EncodeLimit(now, l), Urgent: ask.Urgent, PatienceUs: ask.Latest.Sub(now).Microseconds()}
+}
+
+// DecodePermitAsk returns the limit and the ask in a message. Times are relative to now.
+func DecodePermitAsk(now time.Time, m *wirepb.SendPermitAsk) (stock.EndpointLimit, quota.Ask) {
+	l := DecodeLimit(now, m.GetLimit())
+	return l, quota.Ask{PerSecond: l.PerSecond, Urgent: m.GetUrgent(), Latest: now.Add(micros(m.GetPatienceUs()))}
+}
+
 // micros returns a duration of n microseconds.
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
