--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -10,9 +10,8 @@
 	// Lifetime is the time after its start in which a permit may be used. A permit that is not
 	// used in time is lost, so that a router that was held up never sends a backlog.
 	Lifetime = 300 * time.Millisecond
-	// Horizon is the longest time for which a permit is granted in advance. A granter that takes
-	// over does not know the permits of its predecessor; a second's worth of them fits into the
-	// tolerance of a limit.
+	// Horizon is the longest time for which a permit is granted in advance. It bounds what two
+	// granters can grant for the same time when one takes over from the other.
 	Horizon = time.Second
 	// patientHorizon is Horizon for requests that are not urgent. The difference is kept for
 	// urgent ones while all routers ask for more than the limit.
@@ -44,19 +43,18 @@
 	Urgent bool
 	// Latest is the latest start that is of use.
 	Latest time.Time
+	// NotBefore is the latest start of the next permit that the asker has learnt from any
+	// granter. It tells a granter that takes over how far its predecessor has granted permits.
+	NotBefore time.Time
 }
 
 // Reserve grants a permit and returns its start. If the next possible start is too late, it
 // grants none and returns that start and false.
 func (s *Schedule) Reserve(now time.Time, ask Ask) (time.Time, bool) {
 	interval := intervalOf(ask.PerSecond)
-	if idleStart := now.Add(-(burst - 1) * interval); s.next.Before(idleStart) {
-		s.next = idleStart
-	}
-	start := s.next
-	if start.Before(now) {
-		start = now
-	}
+	s.next = later(s.next, now.Add(-(burst-1)*interval))
+	s.next = later(s.next, earlier(ask.NotBefore, now.Add(Horizon+interval)))
+	start := later(s.next, now)
 	horizon := patientHorizon
 	if ask.Urgent || s.urgentInRow >= maxUrgentInRow {
 		horizon = Horizon
@@ -72,14 +70,24 @@
 	return start, true
 }
 
-// Delay keeps the schedule from granting a permit that starts before at.
-func (s *Schedule) Delay(at time.Time) {
-	if s.next.Before(at) {
-		s.next = at
-	}
-}
+// Next returns the start of the next permit after one that starts at start.
+func Next(start time.Time, perSecond float64) time.Time { return start.Add(intervalOf(perSecond)) }
 
 // intervalOf returns the time between two permits at a rate in requests per second.
 func intervalOf(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/relay/limitfleet_test.go
@@ -0,0 +1,356 @@
+package relay
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"chervilreach/core/event"
+	"chervilreach/core/route"
+	"chervilreach/core/stock"
+	"chervilreach/core/swap"
+)
+
+// limitFleet simulates the routers of a fleet and two agents with a common clock. One of the
+// endpoints names a limit. Messages and answers take netDelay to netDelay plus netJitter.
+type limitFleet struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	now     time.Time
+	routers []*fleetRouter
+	agents  map[string]*swap.State
+	// downUntil is the time until which an agent is down.
+	downUntil map[string]time.Time
+	pending   []fleetMessage
+	entries   []EndpointEntry
+	limited   string
+	perSecond float64
+	// namedAt is the time from which the limited endpoint names its limit.
+	namedAt time.Time
+	// arrivals are the requests that reached the limited endpoint.
+	arrivals []fleetArrival
+	answered map[bool]int
+	refused  int
+	numbers  uint64
+	asks     map[uint64]func(swap.PermitAnswered)
+}
+
+type fleetRouter struct {
+	state *State
+	index int
+	// toldAt is the time at which the router first got an answer that names a limit.
+	toldAt      time.Time
+	frozenUntil time.Time
+	// wakeAt is the time of the next tick.
+	wakeAt time.Time
+	lastID RequestID
+	// inbox are the events that reached the router while it was frozen.
+	inbox []event.Event
+}
+
+type fleetMessage struct {
+	at      time.Time
+	deliver func()
+}
+
+type fleetArrival struct {
+	at     time.Time
+	router int
+}
+
+const (
+	netDelay  = time.Millisecond
+	netJitter = 4 * time.Millisecond
+	fleetStep = 5 * time.Millisecond
+	// tickPeriod is the longest time between two ticks, as in package loop.
+	tickPeriod = 100 * time.Millisecond
+)
+
+func newLimitFleet(t *testing.T, seed uint64, routerCount int, limited string, perSecond float64) *limitFleet {
+	t.Helper()
+	f := &limitFleet{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000), limited: limited, perSecond: perSecond,
+		agents: make(map[string]*swap.State), downUntil: make(map[string]time.Time), answered: make(map[bool]int),
+		asks:    make(map[uint64]func(swap.PermitAnswered)),
+		entries: []EndpointEntry{testEntry("e1", llm), testEntry("e2", llm), testEntry("p1", plain)},
+	}
+	f.agents["e1"], f.agents["e2"] = swap.New(), swap.New()
+	for n := range routerCount {
+		f.addRouter(n)
+	}
+	for _, agent := range []string{"e1", "e2"} {
+		f.observe(agent)
+		f.publishAll(agent)
+	}
+	return f
+}
+
+// addRouter starts router n, or starts it again.
+func (f *limitFleet) addRouter(n int) {
+	r := &fleetRouter{index: n, state: New(Settings{
+		Process: fmt.Sprint("router-", n), FailureDomain: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+	})}
+	if n < len(f.routers) {
+		r.lastID = f.routers[n].lastID
+		f.routers[n] = r
+	} else {
+		f.routers = append(f.routers, r)
+	}
+	f.apply(r, RoutesAdopted{Table: testTable()})
+	f.apply(r, EndpointsListed{List: f.entries})
+}
+
+// observe applies a snapshot of the endpoint to its agent. A router is connected, so that the
+// agent publishes reports.
+func (f *limitFleet) observe(agent string) {
+	r := stock.Report{Instance: agent, KVTotal: 130_000, Models: []stock.LoadedModel{{Model: "a"}}}
+	f.agents[agent].Apply(f.now, swap.RouterConnected{Router: 1})
+	f.agents[agent].Apply(f.now, swap.Observed{AskedAt: f.now, Engine: swap.Snapshot{Report: r}})
+}
+
+func (f *limitFleet) publishAll(agent string) {
+	for _, r := range f.routers {
+		f.report(agent, r, nil)
+	}
+}
+
+func (f *limitFleet) report(agent string, r *fleetRouter, limits []stock.EndpointLimit) {
+	report := stock.Report{Instance: agent, KVTotal: 130_000, Models: []stock.LoadedModel{{Model: "a"}}, Routers: len(f.routers), Limits: limits}
+	report.Copies.Disk = []string{"a"}
+	f.post(r, AgentReported{Report: report})
+}
+
+// post delivers an event to a router after a delay.
+func (f *limitFleet) post(r *fleetRouter, ev event.Event) {
+	f.after(0, func() {
+		if f.routers[r.index] == r {
+			f.apply(r, ev)
+		}
+	})
+}
+
+func (f *limitFleet) after(d time.Duration, deliver func()) {
+	at := f.now.Add(d + netDelay + time.Duration(f.rnd.Int64N(int64(netJitter))))
+	i, _ := slices.BinarySearchFunc(f.pending, at, func(m fleetMessage, at time.Time) int { return cmp.Or(m.at.Compare(at), -1) })
+	f.pending = slices.Insert(f.pending, i, fleetMessage{at, deliver})
+}
+
+// apply applies an event to a router, or keeps it while the router is frozen.
+func (f *limitFleet) apply(r *fleetRouter, ev event.Event) {
+	if f.now.Before(r.frozenUntil) {
+		if _, tick := ev.(event.Tick); !tick {
+			r.inbox = append(r.inbox, ev)
+		}
+		return
+	}
+	for _, eff := range r.state.Apply(f.now, ev) {
+		switch eff := eff.(type) {
+		case event.Wake:
+			if eff.At.Before(r.wakeAt) {
+				r.wakeAt = eff.At
+			}
+		case Send:
+			f.send(r, eff)
+		case AskPermit:
+			f.askPermit(r, eff)
+		case ReportLimit:
+			f.toAgent(eff.Granter, swap.LimitReported{Limit: eff.Limit})
+		case Refuse:
+			f.refused++
+		}
+	}
+}
+
+// send delivers a request to its endpoint, which answers at once.
+func (f *limitFleet) send(r *fleetRouter, eff Send) {
+	f.after(0, func() {
+		answer := RateLimit{}
+		if eff.Instance == f.limited {
+			f.arrivals = append(f.arrivals, fleetArrival{f.now, r.index})
+			if !f.namedAt.IsZero() {
+				answer = RateLimit{Named: true, PerSecond: f.perSecond}
+			}
+		}
+		f.answered[eff.Instance == f.limited]++
+		f.after(0, func() {
+			if f.routers[r.index] != r {
+				return
+			}
+			if answer.Named && r.toldAt.IsZero() {
+				r.toldAt = f.now
+			}
+			if answer.Named || eff.Limited {
+				f.apply(r, LimitObserved{ID: eff.ID, Try: eff.Try, Limit: answer})
+			}
+			f.apply(r, AnswerStarted{ID: eff.ID})
+			f.apply(r, AttemptEnded{ID: eff.ID, Result: Done, LastEvent: NoEvent})
+		})
+	})
+}
+
+func (f *limitFleet) askPermit(r *fleetRouter, eff AskPermit) {
+	answered := PermitAnswered{ID: eff.ID, Number: eff.Number, Result: PermitUnanswered}
+	if f.now.Before(f.downUntil[eff.Granter]) {
+		f.post(r, answered)
+		return
+	}
+	f.numbers++
+	number, askedAt := f.numbers, f.now
+	f.asks[number] = func(a swap.PermitAnswered) {
+		answered.Result, answered.StartAt = PermitDenied, a.StartAt
+		if a.Granted {
+			answered.Result, answered.ExpiresAt = PermitGranted, askedAt.Add(a.StartAt.Sub(f.now)+300*time.Millisecond)
+		}
+		f.post(r, answered)
+	}
+	f.toAgent(eff.Granter, swap.PermitAsked{Number: number, Limit: eff.Limit, Ask: eff.Ask})
+}
+
+// toAgent delivers an event to an agent that is up.
+func (f *limitFleet) toAgent(agent string, ev event.Event) {
+	f.after(0, func() {
+		if f.now.Before(f.downUntil[agent]) {
+			return
+		}
+		for _, eff := range f.agents[agent].Apply(f.now, ev) {
+			switch eff := eff.(type) {
+			case swap.PermitAnswered:
+				f.asks[eff.Number](eff)
+				delete(f.asks, eff.Number)
+			case swap.Publish:
+				for _, r := range f.routers {
+					f.report(agent, r, eff.Report.Limits)
+				}
+			}
+		}
+	})
+}
+
+// run advances the clock by d. In each step the routers get requests at the given total rate.
+func (f *limitFleet) run(d time.Duration, requestsPerSecond float64) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(fleetStep)
+		for len(f.pending) > 0 && !f.pending[0].at.After(f.now) {
+			m := f.pending[0]
+			f.pending = f.pending[1:]
+			m.deliver()
+		}
+		for _, r := range f.routers {
+			if f.now.Before(r.frozenUntil) {
+				continue
+			}
+			for len(r.inbox) > 0 {
+				ev := r.inbox[0]
+				r.inbox = r.inbox[1:]
+				f.apply(r, ev)
+			}
+			if !f.now.Before(r.wakeAt) {
+				r.wakeAt = f.now.Add(tickPeriod)
+				f.apply(r, event.Tick{})
+			}
+		}
+		for n := f.rnd.Float64() + requestsPerSecond*fleetStep.Seconds(); n >= 1; n-- {
+			f.arrive(f.routers[f.rnd.IntN(len(f.routers))])
+		}
+	}
+}
+
+func (f *limitFleet) arrive(r *fleetRouter) {
+	r.lastID++
+	rt := plainRoute(route.Safe)
+	req := Request{AttemptID: "x", Route: rt, Service: plain, Deadline: f.now.Add(rt.Timeout), LastEvent: NoEvent}
+	if f.limited != "p1" {
+		req.Route, req.Service, req.Item, req.TokensIn = streamRoute(), llm, modelA, 100
+		req.Deadline = f.now.Add(req.Route.Timeout)
+	}
+	f.apply(r, RequestArrived{ID: r.lastID, Request: req})
+}
+
+// mostInWindow returns the largest number of requests within 4 s that reached the limited
+// endpoint after grace, from routers that had been told at least 500 ms before.
+func (f *limitFleet) mostInWindow(grace time.Duration) int {
+	var times []time.Time
+	for _, a := range f.arrivals {
+		toldAt := f.routers[a.router].toldAt
+		if !toldAt.IsZero() && !a.at.Before(toldAt.Add(500*time.Millisecond)) && !a.at.Before(f.namedAt.Add(grace)) {
+			times = append(times, a.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for !at.Before(times[first].Add(4 * time.Second)) {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against limits that are exceeded by all routers together, in fleets of any size, while
+// routers freeze and restart and the agent that grants permits is down for a while.
+func TestFleetKeepsToLimitOfEndpoint(t *testing.T) {
+	for _, routers := range []int{5, 27, 107, 330} {
+		for _, perSecond := range []float64{0.3, 1, 5, 50} {
+			for name, limited := range map[string]string{"with agent": "e1", "without agent": "p1"} {
+				t.Run(fmt.Sprintf("%d routers, %g a second, %s", routers, perSecond, name), func(t *testing.T) {
+					t.Parallel()
+					f := newLimitFleet(t, 1, routers, limited, perSecond)
+					f.run(2*time.Second, 4*perSecond+20)
+					f.namedAt = f.now
+					before := len(f.arrivals)
+					f.run(8*time.Second, 4*perSecond+20)
+					f.trouble()
+					f.run(8*time.Second, 4*perSecond+20)
+					allowed := int(1.5*4*perSecond + 5)
+					assert.LessOrEqual(t, f.mostInWindow(3*time.Second), allowed)
+					if limited == "p1" {
+						assert.GreaterOrEqual(t, float64(len(f.arrivals)-before), 0.7*perSecond*14, "the limit leaves this much")
+					}
+				})
+			}
+		}
+	}
+}
+
+// trouble freezes a fifth of the routers for some seconds, restarts one and takes down the agent
+// that grants permits.
+func (f *limitFleet) trouble() {
+	for n := range len(f.routers) / 5 {
+		f.routers[n].frozenUntil = f.now.Add(time.Duration(500+f.rnd.IntN(3000)) * time.Millisecond)
+	}
+	f.addRouter(len(f.routers) - 1)
+	agent := "e1"
+	if f.limited == "p1" {
+		agent = f.routers[0].state.granterOf(f.routers[0].state.endpoint("p1")).Instance
+	}
+	f.downUntil[agent] = f.now.Add(1500 * time.Millisecond)
+	f.agents[agent] = swap.New()
+	f.observe(agent)
+	for _, r := range f.routers {
+		f.post(r, AgentLost{Instance: agent})
+		f.after(1500*time.Millisecond, func() { f.report(agent, r, nil) })
+	}
+}
+
+// The end of a limit reaches all routers within seconds, although few of them get an answer.
+func TestEndOfLimitReachesAllRouters(t *testing.T) {
+	for _, routers := range []int{5, 107, 330} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(t, 1, routers, "p1", 0.5)
+			f.namedAt = f.now
+			f.run(10*time.Second, 50)
+			f.namedAt = time.Time{}
+			f.run(6*time.Second, 50)
+			for _, r := range f.routers {
+				assert.False(t, r.state.endpoint("p1").limit.InForce())
+			}
+		})
+	}
+}
--- a/core/relay/limits.go
+++ b/core/relay/limits.go
@@ -175,6 +175,7 @@
 	r.permit = &permit{endpoint: e, number: s.lastAskNumber, ask: ask, expiresAt: s.now.Add(permitAnswerTimeout)}
 	if granter := s.granterOf(e); granter != nil {
 		r.permit.granter = granter
+		ask.NotBefore = e.nextPermitAt
 		s.emitCount("permits.asked")
 		s.emit(AskPermit{ID: r.id, Number: r.permit.number, Granter: granter.Instance, Limit: e.limit, Ask: ask})
 		s.emitWake(r.permit.expiresAt)
@@ -218,7 +219,9 @@
 		s.emitWake(e.limitedUntil)
 		return
 	}
-	r.permit.granted, r.permit.startAt, r.permit.expiresAt = true, startAt, expiresAt
+	p := r.permit
+	p.granted, p.startAt, p.expiresAt = true, startAt, expiresAt
+	p.endpoint.nextPermitAt = laterTime(p.endpoint.nextPermitAt, quota.Next(startAt, p.ask.PerSecond))
 	s.emitWake(startAt)
 	s.emitWake(expiresAt)
 }
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -44,6 +44,9 @@
 // expectedSendTime returns the time at which the request is expected to be sent, or the
 // reason why it can't be served. It requests the load of the model or adapter if necessary.
 func (s *State) expectedSendTime(r *request) (time.Time, Reason) {
+	if r.permit != nil {
+		return laterTime(r.permit.startAt, s.now), ""
+	}
 	engine := s.table.Engine(r.Service)
 	if at, limited := s.permitsLeftAt(r); limited {
 		return s.limitedSendTime(r, engine, at), ""
@@ -70,7 +73,7 @@
 		return permitsAt
 	}
 	loadedAt, reason := s.joinOrRequestLoad(r, engine)
-	if reason != "" || permitsAt.Before(loadedAt) {
+	if reason != "" || permitsAt.Before(loadedAt) || !s.hasPendingLoad(loadKey{r.Service, r.Item}) {
 		return permitsAt
 	}
 	return loadedAt
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -146,13 +146,19 @@
 // EncodePermitAsk returns the message that asks for a permit to send a request to the endpoint
 // with the limit l.
 func EncodePermitAsk(now time.Time, l stock.EndpointLimit, ask quota.Ask) *wirepb.SendPermitAsk {
-	return &wirepb.SendPermitAsk{Limit: EncodeLimit(now, l), Urgent: ask.Urgent, PatienceUs: ask.Latest.Sub(now).Microseconds()}
+	return &wirepb.SendPermitAsk{
+		Limit: EncodeLimit(now, l), Urgent: ask.Urgent, PatienceUs: ask.Latest.Sub(now).Microseconds(),
+		NotBeforeUs: max(ask.NotBefore.Sub(now).Microseconds(), 0),
+	}
 }
 
 // DecodePermitAsk returns the limit and the ask in a message. Times are relative to now.
 func DecodePermitAsk(now time.Time, m *wirepb.SendPermitAsk) (stock.EndpointLimit, quota.Ask) {
 	l := DecodeLimit(now, m.GetLimit())
-	return l, quota.Ask{PerSecond: l.PerSecond, Urgent: m.GetUrgent(), Latest: now.Add(micros(m.GetPatienceUs()))}
+	return l, quota.Ask{
+		PerSecond: l.PerSecond, Urgent: m.GetUrgent(), Latest: now.Add(micros(m.GetPatienceUs())),
+		NotBefore: now.Add(micros(m.GetNotBeforeUs())),
+	}
 }
 
 // micros returns a duration of n microseconds.
--- a/io/wire/stock_test.go
+++ b/io/wire/stock_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"google.golang.org/protobuf/proto"
 
+	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 )
 
@@ -20,6 +22,10 @@
 		Models: []stock.LoadedModel{{Model: "m", Version: 2, Adapters: []string{"a1"}}},
 		Loads:  []stock.ScheduledLoad{{Item: stock.Item{Model: "n", Adapter: "a2"}, ReadyAt: now.Add(1500 * time.Millisecond)}},
 		Copies: stock.CachedWeights{Memory: []string{"m"}, Disk: []string{"m", "n"}},
+		Limits: []stock.EndpointLimit{
+			{Instance: "i-1", PerSecond: 1.3, SentAt: now.Add(-time.Second), SeenAt: now.Add(-time.Millisecond)},
+			{Instance: "i-2", Ended: true, SentAt: now.Add(-time.Minute), SeenAt: now},
+		},
 	}
 	assert.Equal(t, r, DecodeStock(now, EncodeStock(now, r, stock.Report{}), stock.Report{}))
 
@@ -32,6 +38,20 @@
 	assert.Equal(t, later.Add(1500*time.Millisecond), got.Loads[0].ReadyAt, "times are relative to the receiver's clock")
 }
 
+// TestPermitAskRoundTrip encodes and decodes an ask for a permit. A rate that is no number is
+// decoded as 0.
+func TestPermitAskRoundTrip(t *testing.T) {
+	now := time.UnixMilli(5_000_000)
+	limit := stock.EndpointLimit{Instance: "i-1", PerSecond: 0.3, SentAt: now.Add(-2 * time.Second), SeenAt: now.Add(-time.Second)}
+	ask := quota.Ask{PerSecond: 0.3, Urgent: true, Latest: now.Add(time.Second), NotBefore: now.Add(3 * time.Second)}
+	gotLimit, gotAsk := DecodePermitAsk(now, EncodePermitAsk(now, limit, ask))
+	assert.Equal(t, limit, gotLimit)
+	assert.Equal(t, ask, gotAsk)
+	m := EncodeLimit(now, limit)
+	m.PerSecond = math.NaN()
+	assert.Zero(t, DecodeLimit(now, m).PerSecond)
+}
+
 // TestBriefStockRoundTrip checks that a brief report omits what is the same as in the last one,
 // and decodes to the same report.
 func TestBriefStockRoundTrip(t *testing.T) {
@@ -44,7 +64,10 @@
 	for name, change := range map[string]func(r *stock.Report){
 		"load":    func(r *stock.Report) { r.Running, r.Waiting, r.KVUsed, r.Routers = 3, 2, 100, 4 },
 		"leaving": func(r *stock.Report) { r.Leaving = true },
-		"models":  func(r *stock.Report) { r.Models = []stock.LoadedModel{} },
+		"limits": func(r *stock.Report) {
+			r.Limits = []stock.EndpointLimit{{Instance: "i-1", PerSecond: 2, SentAt: now, SeenAt: now}}
+		},
+		"models": func(r *stock.Report) { r.Models = []stock.LoadedModel{} },
 		"adapter": func(r *stock.Report) {
 			r.Models = []stock.LoadedModel{{Model: "m", Version: 2, Adapters: []string{"a2"}}}
 		},
@@ -55,7 +78,7 @@
 			r := last
 			change(&r)
 			m := EncodeBriefStock(now, r, last)
-			assert.Equal(t, name == "load" || name == "leaving", m.GetAsBefore())
+			assert.Equal(t, name == "load" || name == "leaving" || name == "limits", m.GetAsBefore())
 			assert.Equal(t, r, DecodeStock(now, m, last))
 		})
 	}
