relay: spread the shares of routers without a granter, and bound asks for permits

A router's own share now has no credit, and begins at a time that differs between routers. Besides, each waiting request asked again every 10 ms after a denial; asks are now bounded by the limit and the number of routers.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -70,9 +70,36 @@
 	return start, true
 }
 
+// Share is one router's part of a limit, for times in which it reaches no granter. The zero value
+// is ready for use. It is not safe for concurrent use.
+type Share struct {
+	// next is the start of the next permit.
+	next time.Time
+}
+
+// Reserve returns the start of the next permit and whether that is now. interval is the time
+// between two permits. phase, from 0 to 1, differs between routers: after an idle period, the
+// next permit starts that part of an interval later, so that not all routers send at once.
+func (s *Share) Reserve(now time.Time, interval time.Duration, phase float64) (time.Time, bool) {
+	if s.next.Add(interval).Before(now) {
+		s.next = now.Add(time.Duration(phase * float64(interval)))
+	}
+	if now.Before(s.next) {
+		return s.next, false
+	}
+	s.next = now.Add(interval)
+	return now, true
+}
+
 // Next returns the start of the next permit after one that starts at start.
 func Next(start time.Time, perSecond float64) time.Time { return start.Add(intervalOf(perSecond)) }
 
+// ShareInterval returns the time between two permits of one router's Share of a limit if
+// routerCount routers use the given part of the limit together.
+func ShareInterval(perSecond float64, routerCount int, part float64) time.Duration {
+	return time.Duration(float64(intervalOf(perSecond)) * float64(max(routerCount, 1)) / part)
+}
+
 // intervalOf returns the time between two permits at a rate in requests per second.
 func intervalOf(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -75,8 +75,10 @@
 	// it is of no use to ask for a permit, nextPermitAt the start of the next permit.
 	limit                      stock.EndpointLimit
 	limitedUntil, nextPermitAt time.Time
-	// ownSchedule is the router's own share of the limit, for times without a granter.
-	ownSchedule quota.Schedule
+	// pendingAskCount is the number of unanswered asks for permits for the endpoint.
+	pendingAskCount int
+	// ownShare is the router's own share of the limit, for times without a granter.
+	ownShare quota.Share
 	// askAgainAt is the time until which the endpoint's agent is not asked for permits, as it
 	// did not answer.
 	askAgainAt time.Time
--- a/core/relay/limitfleet_test.go
+++ b/core/relay/limitfleet_test.go
@@ -36,6 +36,8 @@
 	arrivals []fleetArrival
 	answered map[bool]int
 	refused  int
+	// askCount is the number of asks for permits, numbers of those that reached an agent.
+	askCount int
 	numbers  uint64
 	asks     map[uint64]func(swap.PermitAnswered)
 }
@@ -194,6 +196,7 @@
 }
 
 func (f *limitFleet) askPermit(r *fleetRouter, eff AskPermit) {
+	f.askCount++
 	answered := PermitAnswered{ID: eff.ID, Number: eff.Number, Result: PermitUnanswered}
 	if f.now.Before(f.downUntil[eff.Granter]) {
 		f.post(r, answered)
@@ -301,15 +304,16 @@
 				t.Run(fmt.Sprintf("%d routers, %g a second, %s", routers, perSecond, name), func(t *testing.T) {
 					t.Parallel()
 					f := newLimitFleet(t, 1, routers, limited, perSecond)
-					f.run(2*time.Second, 4*perSecond+20)
+					f.run(2*time.Second, 2*perSecond+20)
 					f.namedAt = f.now
 					before := len(f.arrivals)
-					f.run(8*time.Second, 4*perSecond+20)
+					f.run(8*time.Second, 2*perSecond+20)
 					f.trouble()
-					f.run(8*time.Second, 4*perSecond+20)
+					f.run(8*time.Second, 2*perSecond+20)
 					allowed := int(1.5*4*perSecond + 5)
 					assert.LessOrEqual(t, f.mostInWindow(3*time.Second), allowed)
 					if limited == "p1" {
+						assert.LessOrEqual(t, f.askCount, int(16*(20+8*perSecond))+4*routers, "asks are bounded")
 						assert.GreaterOrEqual(t, float64(len(f.arrivals)-before), 0.7*perSecond*14, "the limit leaves this much")
 					}
 				})
@@ -338,6 +342,27 @@
 	}
 }
 
+// Guards against all routers sending at once, each within its own share, when no agent that
+// grants permits is to be reached.
+func TestFleetWithoutGranterKeepsToLimit(t *testing.T) {
+	for _, routers := range []int{5, 27, 107, 330} {
+		for _, perSecond := range []float64{0.3, 1, 5, 50} {
+			t.Run(fmt.Sprintf("%d routers, %g a second", routers, perSecond), func(t *testing.T) {
+				t.Parallel()
+				f := newLimitFleet(t, 1, routers, "p1", perSecond)
+				f.run(2*time.Second, 4*perSecond+20)
+				f.namedAt = f.now
+				f.run(5*time.Second, 4*perSecond+20)
+				for agent := range f.agents {
+					f.downUntil[agent] = f.now.Add(5 * time.Second)
+				}
+				f.run(8*time.Second, 4*perSecond+20)
+				assert.LessOrEqual(t, f.mostInWindow(3*time.Second), int(1.5*4*perSecond+5))
+			})
+		}
+	}
+}
+
 // The end of a limit reaches all routers within seconds, although few of them get an answer.
 func TestEndOfLimitReachesAllRouters(t *testing.T) {
 	for _, routers := range []int{5, 107, 330} {
--- a/core/relay/limits.go
+++ b/core/relay/limits.go
@@ -23,9 +23,16 @@
 	// granter. The rest allows for routers that reach one, and for a number of routers that is
 	// out of date.
 	ownShare = 0.5
-	// minAskInterval is how long a router does not ask again for permits for an endpoint after
-	// it was denied one.
+	// minAskInterval and maxAskInterval bound the time for which a router does not ask again for
+	// permits for an endpoint after it was denied one, see askInterval.
 	minAskInterval = 10 * time.Millisecond
+	maxAskInterval = 5 * time.Second
+	// asksPerPermit and minAsksPerSecond limit the denied asks of all routers together: to this
+	// many for each permit, plus this many a second.
+	asksPerPermit    = 4
+	minAsksPerSecond = 20
+	// maxPendingAsks is the maximum number of unanswered asks of a router for one endpoint.
+	maxPendingAsks = 8
 	// askCostMS is the cost of the ask for a permit.
 	askCostMS = 5.0
 )
@@ -146,6 +153,26 @@
 	return e.limit.InForce() && now.Before(e.limitedUntil)
 }
 
+// mayAsk reports whether the router may ask for one more permit for the endpoint now, or needs
+// none. The number of unanswered asks is limited to twice this router's part of a second's
+// permits, so that what waits at many routers does not ask all at once.
+func (s *State) mayAsk(e *endpoint) bool {
+	if !e.limit.InForce() {
+		return true
+	}
+	part := int(2 * e.limit.PerSecond / float64(max(s.retryBudget.routerCount, 1)))
+	return !e.outOfPermits(s.now) && e.pendingAskCount < min(max(part, 1), maxPendingAsks)
+}
+
+// askInterval returns how long the router does not ask again after it was denied a permit. It
+// grows with the number of routers, so that the granter gets only as many asks as keep the limit
+// in use.
+func (s *State) askInterval(e *endpoint) time.Duration {
+	asksPerSecond := asksPerPermit*e.limit.PerSecond + minAsksPerSecond
+	interval := time.Duration(float64(s.retryBudget.routerCount) / asksPerSecond * float64(time.Second))
+	return min(max(interval, minAskInterval), maxAskInterval)
+}
+
 // sendOrAskPermit sends the request to e, or asks for a permit first if e is limited.
 func (s *State) sendOrAskPermit(r *request, e *endpoint, basis Basis) {
 	if !e.limit.InForce() {
@@ -176,20 +203,27 @@
 	if granter := s.granterOf(e); granter != nil {
 		r.permit.granter = granter
 		ask.NotBefore = e.nextPermitAt
+		e.pendingAskCount++
+		s.pendingAsks[r.permit.number] = e
 		s.emitCount("permits.asked")
 		s.emit(AskPermit{ID: r.id, Number: r.permit.number, Granter: granter.Instance, Limit: e.limit, Ask: ask})
 		s.emitWake(r.permit.expiresAt)
 		return
 	}
 	s.emitCount("permits.own-share")
-	ask.PerSecond *= ownShare / float64(max(s.retryBudget.routerCount, 1))
-	at, ok := e.ownSchedule.Reserve(s.now, ask)
+	interval := quota.ShareInterval(e.limit.PerSecond, s.retryBudget.routerCount, ownShare)
+	at, ok := e.ownShare.Reserve(s.now, interval, e.tieBreak)
 	s.applyPermitAnswer(r, at, at.Add(quota.Lifetime), ok)
 }
 
 // handlePermitAnswered applies the answer to an ask for a permit, unless the request is gone or
 // the answer was no longer awaited.
 func (s *State) handlePermitAnswered(ev PermitAnswered) {
+	if e := s.pendingAsks[ev.Number]; e != nil {
+		e.pendingAskCount--
+		delete(s.pendingAsks, ev.Number)
+	}
+	defer s.dispatchWaiting()
 	r := s.requests[ev.ID]
 	if r == nil || r.permit == nil || r.permit.number != ev.Number || r.target != nil {
 		return
@@ -214,7 +248,7 @@
 			// Permits are granted some time in advance to requests that can wait.
 			e.limitedUntil = e.nextPermitAt.Add(-quota.Horizon / 2)
 		}
-		e.limitedUntil = laterTime(e.limitedUntil, s.now.Add(minAskInterval))
+		e.limitedUntil = laterTime(e.limitedUntil, s.now.Add(s.askInterval(e)))
 		r.permit = nil
 		s.emitWake(e.limitedUntil)
 		return
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -64,8 +64,10 @@
 	// shutdownEndBy the time at which attempts are aborted. Both are zero if the process is not
 	// shutting down.
 	shutdownSendBy, shutdownEndBy time.Time
-	// lastAskNumber is the number of the last ask for a permit.
+	// lastAskNumber is the number of the last ask for a permit. pendingAsks has the endpoints of
+	// the unanswered ones.
 	lastAskNumber uint64
+	pendingAsks   map[uint64]*endpoint
 }
 
 // request is a request in progress.
@@ -120,6 +122,7 @@
 		index:           newIndex(),
 		outdatedDemands: make(map[string]bool),
 		retryBudget:     newRetryBudget(cfg),
+		pendingAsks:     make(map[uint64]*endpoint),
 	}
 }
 
