soak: replicas name rate limits, and the routers must keep to them together

One replica after the other names a limit of 0.5 to 5 requests a second for 7 s, beside the random faults. Requests from routers that were disturbed, or over a link that was, within 3 s before do not count, as the platform excuses them.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -64,9 +64,7 @@
 	}},
 	{"link to a replica", func(ctx context.Context, h *harness, rnd *rand.Rand) error {
 		r := pick(rnd, h.fleet.replicas)
-		r.link.setMode(randomMode(rnd))
-		sleep(ctx, faultDuration(rnd))
-		r.link.setMode(Pass)
+		r.breakLink(ctx, randomMode(rnd), faultDuration(rnd))
 		return nil
 	}},
 	{"link to the store", func(ctx context.Context, h *harness, rnd *rand.Rand) error {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -51,6 +51,8 @@
 	shouldRun bool
 	// disturbedAt is when the process was last started, signaled or disturbed by a fault.
 	disturbedAt time.Time
+	// disturbances are all values of disturbedAt so far.
+	disturbances []time.Time
 	// crashCount is the number of exits that the harness did not cause.
 	crashCount int
 	// crashErr is the exit error of the last crash; nil if the exit status was 0.
@@ -73,6 +75,36 @@
 	// faultMu is held while a fault is injected into the replica itself rather than its
 	// link.
 	faultMu sync.Mutex
+
+	mu sync.Mutex
+	// linkFaults are the periods in which the link did not pass everything on.
+	linkFaults []linkFault
+}
+
+// linkFault is a period in which a link did not pass everything on. to is zero while it lasts.
+type linkFault struct{ from, to time.Time }
+
+// breakLink sets the mode of the link to the replica until ctx is done or d has passed.
+func (r *replica) breakLink(ctx context.Context, m Mode, d time.Duration) {
+	r.mu.Lock()
+	n := len(r.linkFaults)
+	r.linkFaults = append(r.linkFaults, linkFault{from: time.Now()})
+	r.mu.Unlock()
+	r.link.setMode(m)
+	sleep(ctx, d)
+	r.link.setMode(Pass)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.linkFaults[n].to = time.Now()
+}
+
+// linkFaultBetween reports whether there was a fault of the link between the times.
+func (r *replica) linkFaultBetween(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.linkFaults, func(f linkFault) bool {
+		return !f.from.After(to) && (f.to.IsZero() || !f.to.Before(from))
+	})
 }
 
 // fleet is a deployment on loopback: the store, replicas, agents and routers.
@@ -212,7 +244,8 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
-	p.cmd, p.shouldRun, p.exited, p.disturbedAt = cmd, true, make(chan struct{}), time.Now()
+	p.cmd, p.shouldRun, p.exited = cmd, true, make(chan struct{})
+	p.recordDisturbance()
 	p.lifetimes = append(p.lifetimes, lifetime{startedAt: p.disturbedAt})
 	go p.wait(cmd, p.exited)
 	return nil
@@ -235,7 +268,7 @@
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.disturbedAt = time.Now()
+	p.recordDisturbance()
 	current := &p.lifetimes[len(p.lifetimes)-1]
 	switch sig {
 	case syscall.SIGKILL:
@@ -286,7 +319,21 @@
 func (p *process) markDisturbed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordDisturbance()
+}
+
+// recordDisturbance records that the process is disturbed now. The caller holds p.mu.
+func (p *process) recordDisturbance() {
 	p.disturbedAt = time.Now()
+	p.disturbances = append(p.disturbances, p.disturbedAt)
+}
+
+// disturbedBetween reports whether the process was started, signaled or disturbed by a fault
+// between the times.
+func (p *process) disturbedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbances, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 // lastDisturbed returns when the process was last started, signaled or disturbed by a fault.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,6 +80,7 @@
 	violations    []string
 	// storeDownAt and storeUpAt are the start and the end of the last outage of the store.
 	storeDownAt, storeUpAt time.Time
+	limitPeriods           []limitPeriod
 }
 
 // Run runs the test once with the faults and requests that the seed determines. Their timing
@@ -161,6 +162,7 @@
 		wg.Go(func() { h.injectSeries(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	}
 	wg.Go(func() { h.stopWhileLoading(ctx, rand.New(rand.NewPCG(h.opts.Seed, 4))) })
+	wg.Go(func() { h.nameLimits(ctx, rand.New(rand.NewPCG(h.opts.Seed, 6))) })
 	wg.Go(func() { h.probeRoutes(ctx) })
 	wg.Wait()
 }
@@ -278,6 +280,7 @@
 	if final == 0 || float64(served) < minServedRatio*float64(final) {
 		h.addViolation("%d of the last %d requests were served after all faults", served, final)
 	}
+	h.checkLimits()
 	for _, name := range h.fleet.runLog.OvercommittedInstances() {
 		h.addViolation("%s was ordered to hold more than it can", name)
 	}
