relay: take the number of routers from the agent that sees most of them

Callers saw nothing.

The count is now the largest that a connected agent has reported. TestNumberOfRoutersIsThatOfTheAgentThatSeesMost failed before (1 for 27).

--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -113,7 +113,7 @@
 	first := !e.hasAgent
 	s.updateStock(e, func() { e.applyReport(ev.Report, s.now) })
 	e.hasSparseReports = s.followsSubset()
-	s.retryBudget.routerCount = s.estimateRouters(ev.Report.Routers)
+	s.retryBudget.routerCount = s.estimateRouters(s.mostRoutersReported())
 	s.adoptLimits(ev.Report)
 	s.unassignLoadsIfLeaving(e)
 	s.dispatchWaitingFor(e)
@@ -122,6 +122,18 @@
 	}
 }
 
+// mostRoutersReported returns the largest number of routers that a connected agent has reported.
+// An agent that is cut off from some routers reports fewer.
+func (s *State) mostRoutersReported() int {
+	most := 0
+	for _, e := range s.endpoints {
+		if e.hasAgent {
+			most = max(most, e.Stock.Routers)
+		}
+	}
+	return most
+}
+
 // handleInstanceChanged replaces an endpoint by its new instance.
 func (s *State) handleInstanceChanged(ev InstanceChanged) {
 	e := s.endpoint(ev.From)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -455,3 +455,18 @@
 		})
 	}
 }
+
+// Guards against a share of the retry budget that is too large because one agent, cut off from
+// most routers, reports few of them.
+func TestNumberOfRoutersIsThatOfTheAgentThatSeesMost(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm))
+	routers := func(n int) func(r *stock.Report) { return func(r *stock.Report) { r.Routers = n } }
+	router.report("e1", routers(27))
+	router.report("e2", routers(1))
+	assert.Equal(t, 27, router.state.retryBudget.routerCount)
+	router.report("e1", routers(20))
+	assert.Equal(t, 20, router.state.retryBudget.routerCount, "routers that have left no longer count")
+	router.apply(AgentLost{Instance: "e1"})
+	router.report("e2", routers(2))
+	assert.Equal(t, 2, router.state.retryBudget.routerCount)
+}
