relay: use a third of a limit while the first granter is not reached

Callers saw nothing. Routers that did not reach the agent that comes first asked the next one, which granted the whole limit again: with half of the routers cut off from the first one 402 requests in 4 s at 50 a second (305 allowed), 40 at 5 (35) (TestFleetWithTwoGrantersKeepsToLimit, failed 6 of 24 cases before, passes now).

Such asks are marked and get a third of the limit; so does a router that reaches no granter at all, divided by the number of routers. Besides, only an answer that the endpoint generated itself ends a limit, not a refusal or a malformed one.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -21,6 +21,9 @@
 	maxUrgentInRow = 3
 	// burst is the number of permits that start at once after an idle period.
 	burst = 2
+	// FallbackPart is the part of the limit that is used by routers that do not reach the granter
+	// that comes first. Others may reach it and use the whole limit.
+	FallbackPart = 1.0 / 3
 	// minPerSecond is the lowest rate that is used. An endpoint that gets no requests can't end
 	// its limit.
 	minPerSecond = 0.1
@@ -41,6 +44,8 @@
 	PerSecond float64
 	// Urgent reports whether the request has the highest priority.
 	Urgent bool
+	// Fallback reports whether the asker does not reach the granter that comes first.
+	Fallback bool
 	// Latest is the latest start that is of use.
 	Latest time.Time
 	// NotBefore is the latest start of the next permit that the asker has learnt from any
@@ -52,6 +57,9 @@
 // grants none and returns that start and false.
 func (s *Schedule) Reserve(now time.Time, ask Ask) (time.Time, bool) {
 	interval := intervalOf(ask.PerSecond)
+	if ask.Fallback {
+		interval = time.Duration(float64(interval) / FallbackPart)
+	}
 	s.next = later(s.next, now.Add(-(burst-1)*interval))
 	s.next = later(s.next, earlier(ask.NotBefore, now.Add(Horizon+interval)))
 	start := later(s.next, now)
@@ -95,9 +103,9 @@
 func Next(start time.Time, perSecond float64) time.Time { return start.Add(intervalOf(perSecond)) }
 
 // ShareInterval returns the time between two permits of one router's Share of a limit if
-// routerCount routers use the given part of the limit together.
-func ShareInterval(perSecond float64, routerCount int, part float64) time.Duration {
-	return time.Duration(float64(intervalOf(perSecond)) * float64(max(routerCount, 1)) / part)
+// routerCount routers use FallbackPart of the limit together.
+func ShareInterval(perSecond float64, routerCount int) time.Duration {
+	return time.Duration(float64(intervalOf(perSecond)) * float64(max(routerCount, 1)) / FallbackPart)
 }
 
 // intervalOf returns the time between two permits at a rate in requests per second.
--- a/core/relay/limitfleet_test.go
+++ b/core/relay/limitfleet_test.go
@@ -26,6 +26,8 @@
 	agents  map[string]*swap.State
 	// downUntil is the time until which an agent is down.
 	downUntil map[string]time.Time
+	// cutOff reports whether a router does not reach an agent.
+	cutOff    func(router int, agent string) bool
 	pending   []fleetMessage
 	entries   []EndpointEntry
 	limited   string
@@ -198,7 +200,7 @@
 func (f *limitFleet) askPermit(r *fleetRouter, eff AskPermit) {
 	f.askCount++
 	answered := PermitAnswered{ID: eff.ID, Number: eff.Number, Result: PermitUnanswered}
-	if f.now.Before(f.downUntil[eff.Granter]) {
+	if f.now.Before(f.downUntil[eff.Granter]) || f.cutOff != nil && f.cutOff(r.index, eff.Granter) {
 		f.post(r, answered)
 		return
 	}
@@ -363,6 +365,28 @@
 	}
 }
 
+// Guards against two agents that grant permits at the same time, as half of the routers do not
+// reach the one that the others use.
+func TestFleetWithTwoGrantersKeepsToLimit(t *testing.T) {
+	for _, routers := range []int{5, 27, 107} {
+		for _, perSecond := range []float64{0.3, 1, 5, 50} {
+			for name, limited := range map[string]string{"with agent": "e1", "without agent": "p1"} {
+				t.Run(fmt.Sprintf("%d routers, %g a second, %s", routers, perSecond, name), func(t *testing.T) {
+					t.Parallel()
+					f := newLimitFleet(t, 1, routers, limited, perSecond)
+					f.run(2*time.Second, 4*perSecond+20)
+					f.namedAt = f.now
+					f.run(4*time.Second, 4*perSecond+20)
+					first := f.routers[0].state.granterOf(f.routers[0].state.endpoint(limited)).Instance
+					f.cutOff = func(router int, agent string) bool { return router%2 == 0 && agent == first }
+					f.run(8*time.Second, 4*perSecond+20)
+					assert.LessOrEqual(t, f.mostInWindow(3*time.Second), int(1.5*4*perSecond+5))
+				})
+			}
+		}
+	}
+}
+
 // The end of a limit reaches all routers within seconds, although few of them get an answer.
 func TestEndOfLimitReachesAllRouters(t *testing.T) {
 	for _, routers := range []int{5, 107, 330} {
--- a/core/relay/limits.go
+++ b/core/relay/limits.go
@@ -19,10 +19,6 @@
 	// granterCandidates is the number of agents, beside that of the endpoint itself, that may
 	// grant the permits for an endpoint.
 	granterCandidates = 3
-	// ownShare is the part of an equal share of the limit that a router uses while it reaches no
-	// granter. The rest allows for routers that reach one, and for a number of routers that is
-	// out of date.
-	ownShare = 0.5
 	// minAskInterval and maxAskInterval bound the time for which a router does not ask again for
 	// permits for an endpoint after it was denied one, see askInterval.
 	minAskInterval = 10 * time.Millisecond
@@ -118,6 +114,17 @@
 	return nil
 }
 
+// isFirstGranter reports whether granter comes first among those that may grant the permits for
+// e, so that all routers that reach it use it.
+func (s *State) isFirstGranter(granter, e *endpoint) bool {
+	for _, candidate := range s.granterCandidates(e) {
+		if !candidate.Leaving {
+			return candidate == granter
+		}
+	}
+	return false
+}
+
 // granterCandidates returns the endpoints whose agents may grant the permits for e, in the
 // order in which they are asked, the same at all routers.
 func (s *State) granterCandidates(e *endpoint) []*endpoint {
@@ -202,7 +209,7 @@
 	r.permit = &permit{endpoint: e, number: s.lastAskNumber, ask: ask, expiresAt: s.now.Add(permitAnswerTimeout)}
 	if granter := s.granterOf(e); granter != nil {
 		r.permit.granter = granter
-		ask.NotBefore = e.nextPermitAt
+		ask.NotBefore, ask.Fallback = e.nextPermitAt, !s.isFirstGranter(granter, e)
 		e.pendingAskCount++
 		s.pendingAsks[r.permit.number] = e
 		s.emitCount("permits.asked")
@@ -211,7 +218,7 @@
 		return
 	}
 	s.emitCount("permits.own-share")
-	interval := quota.ShareInterval(e.limit.PerSecond, s.retryBudget.routerCount, ownShare)
+	interval := quota.ShareInterval(e.limit.PerSecond, s.retryBudget.routerCount)
 	at, ok := e.ownShare.Reserve(s.now, interval, e.tieBreak)
 	s.applyPermitAnswer(r, at, at.Add(quota.Lifetime), ok)
 }
--- a/core/relay/limits_test.go
+++ b/core/relay/limits_test.go
@@ -230,7 +230,7 @@
 		router.advance(10 * time.Millisecond)
 		sent += len(effectsOf[Send](router))
 	}
-	assert.LessOrEqual(t, sent, 4, "half of an equal share among %d routers", initialRouters)
+	assert.LessOrEqual(t, sent, 2, "a third of an equal share among %d routers", initialRouters)
 	assert.Positive(t, sent)
 }
 
@@ -246,6 +246,8 @@
 	router.apply(PermitAnswered{ID: first.ID, Number: first.Number, Result: PermitUnanswered})
 	second := onlyEffect[AskPermit](router)
 	assert.NotEqual(t, first.Granter, second.Granter)
+	assert.False(t, first.Ask.Fallback)
+	assert.True(t, second.Ask.Fallback)
 	router.deny(second, 0)
 	router.advance(2 * time.Second)
 	router.arrive(plainRoute(route.Safe), stock.Item{})
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -279,9 +279,11 @@
 }
 
 // reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
+// Only an answer that the endpoint has generated itself can end a limit.
 func (x *exchange) reportLimit(send relay.Send, info AnswerInfo) {
 	x.limitHeader = info.LimitHeader
-	if info.Result == relay.Replaced || !info.Limit.Named && !send.Limited {
+	mayEnd := send.Limited && info.Result == ""
+	if info.Result == relay.Replaced || !info.Limit.Named && !mayEnd {
 		return
 	}
 	x.d.loop.Post(relay.LimitObserved{ID: x.id, Try: send.Try, Limit: info.Limit})
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -148,7 +148,7 @@
 func EncodePermitAsk(now time.Time, l stock.EndpointLimit, ask quota.Ask) *wirepb.SendPermitAsk {
 	return &wirepb.SendPermitAsk{
 		Limit: EncodeLimit(now, l), Urgent: ask.Urgent, PatienceUs: ask.Latest.Sub(now).Microseconds(),
-		NotBeforeUs: max(ask.NotBefore.Sub(now).Microseconds(), 0),
+		NotBeforeUs: max(ask.NotBefore.Sub(now).Microseconds(), 0), Fallback: ask.Fallback,
 	}
 }
 
@@ -157,7 +157,7 @@
 	l := DecodeLimit(now, m.GetLimit())
 	return l, quota.Ask{
 		PerSecond: l.PerSecond, Urgent: m.GetUrgent(), Latest: now.Add(micros(m.GetPatienceUs())),
-		NotBefore: now.Add(micros(m.GetNotBeforeUs())),
+		NotBefore: now.Add(micros(m.GetNotBeforeUs())), Fallback: m.GetFallback(),
 	}
 }
 
--- a/io/wire/stock_test.go
+++ b/io/wire/stock_test.go
@@ -43,7 +43,7 @@
 func TestPermitAskRoundTrip(t *testing.T) {
 	now := time.UnixMilli(5_000_000)
 	limit := stock.EndpointLimit{Instance: "i-1", PerSecond: 0.3, SentAt: now.Add(-2 * time.Second), SeenAt: now.Add(-time.Second)}
-	ask := quota.Ask{PerSecond: 0.3, Urgent: true, Latest: now.Add(time.Second), NotBefore: now.Add(3 * time.Second)}
+	ask := quota.Ask{PerSecond: 0.3, Urgent: true, Fallback: true, Latest: now.Add(time.Second), NotBefore: now.Add(3 * time.Second)}
 	gotLimit, gotAsk := DecodePermitAsk(now, EncodePermitAsk(now, limit, ask))
 	assert.Equal(t, limit, gotLimit)
 	assert.Equal(t, ask, gotAsk)
