relay: refuse at once what gets no permit before its caller leaves

Callers of a limited endpoint beyond what its limit allows were held until they left, and refused then: in simulated fleets of 5 to 330 routers nearly all of the refused ones waited for more than 1 s (3,298 of 3,298 at 50 a second), as the next permit always seemed near, and each router's waiting requests asked for it.

A request now waits only if an equal part of the permits is enough for it and those ahead of it in half of the time until its caller leaves; new requests do not overtake waiting ones; permits of low limits are granted up to two in advance. An adapter that only limited endpoints have is loaded at another holder of its model. Tried and taken back: refusing after two denials, which refused what had waited longest.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -10,12 +10,14 @@
 	// Lifetime is the time after its start in which a permit may be used. A permit that is not
 	// used in time is lost, so that a router that was held up never sends a backlog.
 	Lifetime = 300 * time.Millisecond
-	// Horizon is the longest time for which a permit is granted in advance. It bounds what two
-	// granters can grant for the same time when one takes over from the other.
-	Horizon = time.Second
-	// patientHorizon is Horizon for requests that are not urgent. The difference is kept for
+	// horizon and minAhead are the longest time for which permits are granted in advance: horizon,
+	// or the time of minAhead permits if that is longer. They bound what two granters can grant
+	// for the same time when one takes over from the other.
+	horizon  = time.Second
+	minAhead = 2
+	// patientPart is the part of that time for requests that are not urgent. The rest is kept for
 	// urgent ones while all routers ask for more than the limit.
-	patientHorizon = Horizon / 2
+	patientPart = 0.5
 	// maxUrgentInRow is the number of successive permits for urgent requests after which others
 	// are treated alike, so that they are not starved.
 	maxUrgentInRow = 3
@@ -61,13 +63,13 @@
 		interval = time.Duration(float64(interval) / FallbackPart)
 	}
 	s.next = later(s.next, now.Add(-(burst-1)*interval))
-	s.next = later(s.next, earlier(ask.NotBefore, now.Add(Horizon+interval)))
+	advance := advanceOf(interval)
+	s.next = later(s.next, earlier(ask.NotBefore, now.Add(advance+interval)))
 	start := later(s.next, now)
-	horizon := patientHorizon
-	if ask.Urgent || s.urgentInRow >= maxUrgentInRow {
-		horizon = Horizon
+	if !ask.Urgent && s.urgentInRow < maxUrgentInRow {
+		advance = time.Duration(patientPart * float64(advance))
 	}
-	if start.After(ask.Latest) || start.After(now.Add(horizon)) {
+	if start.After(ask.Latest) || start.After(now.Add(advance)) {
 		return start, false
 	}
 	s.next = s.next.Add(interval)
@@ -102,6 +104,12 @@
 // Next returns the start of the next permit after one that starts at start.
 func Next(start time.Time, perSecond float64) time.Time { return start.Add(intervalOf(perSecond)) }
 
+// AskAt returns the time from which a permit with the given start is granted, to requests that are
+// not urgent.
+func AskAt(start time.Time, perSecond float64) time.Time {
+	return start.Add(-time.Duration(patientPart * float64(advanceOf(intervalOf(perSecond)))))
+}
+
 // ShareInterval returns the time between two permits of one router's Share of a limit if
 // routerCount routers use FallbackPart of the limit together.
 func ShareInterval(perSecond float64, routerCount int) time.Duration {
@@ -113,6 +121,9 @@
 	return time.Duration(float64(time.Second) / max(perSecond, minPerSecond))
 }
 
+// advanceOf returns the longest time for which permits are granted in advance.
+func advanceOf(interval time.Duration) time.Duration { return max(horizon, minAhead*interval) }
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/relay/limitfleet_test.go
+++ b/core/relay/limitfleet_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 
 	"chervilreach/core/event"
@@ -37,7 +38,10 @@
 	// arrivals are the requests that reached the limited endpoint.
 	arrivals []fleetArrival
 	answered map[bool]int
-	refused  int
+	// heldFor are the times for which requests were held before they were refused, arrivedAt the
+	// times of arrival by router and request.
+	heldFor   []time.Duration
+	arrivedAt map[fleetRequest]time.Time
 	// askCount is the number of asks for permits, numbers of those that reached an agent.
 	askCount int
 	numbers  uint64
@@ -57,6 +61,11 @@
 	inbox []event.Event
 }
 
+type fleetRequest struct {
+	router int
+	id     RequestID
+}
+
 type fleetMessage struct {
 	at      time.Time
 	deliver func()
@@ -80,7 +89,7 @@
 	f := &limitFleet{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000), limited: limited, perSecond: perSecond,
 		agents: make(map[string]*swap.State), downUntil: make(map[string]time.Time), answered: make(map[bool]int),
-		asks:    make(map[uint64]func(swap.PermitAnswered)),
+		asks: make(map[uint64]func(swap.PermitAnswered)), arrivedAt: make(map[fleetRequest]time.Time),
 		entries: []EndpointEntry{testEntry("e1", llm), testEntry("e2", llm), testEntry("p1", plain)},
 	}
 	f.agents["e1"], f.agents["e2"] = swap.New(), swap.New()
@@ -165,7 +174,7 @@
 		case ReportLimit:
 			f.toAgent(eff.Granter, swap.LimitReported{Limit: eff.Limit})
 		case Refuse:
-			f.refused++
+			f.heldFor = append(f.heldFor, f.now.Sub(f.arrivedAt[fleetRequest{r.index, eff.ID}]))
 		}
 	}
 }
@@ -273,6 +282,7 @@
 		req.Route, req.Service, req.Item, req.TokensIn = streamRoute(), llm, modelA, 100
 		req.Deadline = f.now.Add(req.Route.Timeout)
 	}
+	f.arrivedAt[fleetRequest{r.index, r.lastID}] = f.now
 	f.apply(r, RequestArrived{ID: r.lastID, Request: req})
 }
 
@@ -387,6 +397,29 @@
 	}
 }
 
+// Guards against requests that wait for a permit until their callers leave and are refused then,
+// although it was to be seen that they would get none.
+func TestLimitedRequestsAreRefusedEarly(t *testing.T) {
+	for _, routers := range []int{5, 27, 107, 330} {
+		for _, perSecond := range []float64{0.3, 1, 5, 50} {
+			for name, demand := range map[string]float64{"a little more": 1.3 * perSecond, "much more": 4*perSecond + 20} {
+				t.Run(fmt.Sprintf("%d routers, %g a second, %s asked", routers, perSecond, name), func(t *testing.T) {
+					t.Parallel()
+					f := newLimitFleet(t, 1, routers, "p1", perSecond)
+					f.namedAt = f.now
+					f.run(2*time.Second, demand)
+					f.heldFor = nil
+					before := len(f.arrivals)
+					f.run(20*time.Second, demand)
+					held := lo.CountBy(f.heldFor, func(d time.Duration) bool { return d > time.Second })
+					assert.LessOrEqual(t, held, len(f.heldFor)/10, "of %d refused", len(f.heldFor))
+					assert.GreaterOrEqual(t, float64(len(f.arrivals)-before), 0.7*perSecond*20-2)
+				})
+			}
+		}
+	}
+}
+
 // The end of a limit reaches all routers within seconds, although few of them get an answer.
 func TestEndOfLimitReachesAllRouters(t *testing.T) {
 	for _, routers := range []int{5, 107, 330} {
--- a/core/relay/limits.go
+++ b/core/relay/limits.go
@@ -29,6 +29,9 @@
 	minAsksPerSecond = 20
 	// maxPendingAsks is the maximum number of unanswered asks of a router for one endpoint.
 	maxPendingAsks = 8
+	// permitWaitPart is the part of its time in which a new request must be likely to get a
+	// permit, as other routers may get more than an equal part of the permits.
+	permitWaitPart = 0.5
 	// askCostMS is the cost of the ask for a permit.
 	askCostMS = 5.0
 )
@@ -186,6 +189,12 @@
 		s.send(r, e, basis)
 		return
 	}
+	s.addWaiting(r)
+	if s.countAhead(r, func(w *request) bool { return w.permit == nil }) > 0 {
+		// Permits go to those that wait already.
+		s.enqueue(r)
+		return
+	}
 	s.askPermit(r, e, basis)
 	if r.mayBeSentTo(e, s.now) {
 		s.send(r, e, basis)
@@ -253,7 +262,7 @@
 		e.limitedUntil = e.nextPermitAt
 		if r.permit.ask.Latest.After(s.now) {
 			// Permits are granted some time in advance to requests that can wait.
-			e.limitedUntil = e.nextPermitAt.Add(-quota.Horizon / 2)
+			e.limitedUntil = quota.AskAt(e.nextPermitAt, e.limit.PerSecond)
 		}
 		e.limitedUntil = laterTime(e.limitedUntil, s.now.Add(s.askInterval(e)))
 		r.permit = nil
@@ -293,24 +302,62 @@
 	return true
 }
 
-// permitsLeftAt returns the time from which a permit is to be had again, if the limits of all
-// endpoints that can serve the request leave none now.
+// permitsLeftAt returns the time from which a permit is to be had, if all endpoints that can serve
+// the request are limited.
 func (s *State) permitsLeftAt(r *request) (time.Time, bool) {
 	var at time.Time
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
 		if !s.canServe(e, r) {
 			continue
 		}
-		if !e.outOfPermits(s.now) {
+		if !e.limit.InForce() {
 			return time.Time{}, false
 		}
-		if at.IsZero() || e.nextPermitAt.Before(at) {
-			at = e.nextPermitAt
+		next := s.now
+		if e.outOfPermits(s.now) {
+			next = laterTime(e.nextPermitAt, e.limitedUntil)
+		}
+		if at.IsZero() || next.Before(at) {
+			at = next
 		}
 	}
 	return at, !at.IsZero()
 }
 
+// mayWaitForPermit reports whether a request that waits for permits is likely to get one: with an
+// equal part of the permits, this router gets enough of them for the request and those ahead of it
+// before the caller leaves.
+func (s *State) mayWaitForPermit(r *request) bool {
+	perSecond := 0.0
+	for _, e := range s.candidates(r.Service, r.Item.Model) {
+		if s.canServe(e, r) {
+			perSecond += e.limit.PerSecond
+		}
+	}
+	part := perSecond / float64(max(s.retryBudget.routerCount, 1))
+	needed := s.countAhead(r, func(*request) bool { return true }) + 1
+	timeLeft := r.callerTimeoutAt().Sub(s.now).Seconds()
+	if r.waitsFor == "" {
+		timeLeft *= permitWaitPart
+	}
+	return float64(needed) <= part*timeLeft
+}
+
+// countAhead returns the number of waiting requests for the same model that come before r and for
+// which the condition holds.
+func (s *State) countAhead(r *request, condition func(w *request) bool) int {
+	n := 0
+	for _, w := range s.waiting {
+		if w == r {
+			break
+		}
+		if w.Service == r.Service && w.Item.Model == r.Item.Model && condition(w) {
+			n++
+		}
+	}
+	return n
+}
+
 // unlimitedHolderCount returns the number of holders of the item without a rate limit.
 func (s *State) unlimitedHolderCount(service string, item stock.Item) int {
 	n := 0
--- a/core/relay/limits_test.go
+++ b/core/relay/limits_test.go
@@ -132,6 +132,19 @@
 	assert.Empty(t, effectsOf[Refuse](router), "it waits for the load")
 }
 
+// An adapter that only a limited endpoint has is loaded at another holder of its model.
+func TestAdapterIsLoadedBesideLimitedHolder(t *testing.T) {
+	router := newLimitedRouter(t, 1, "e2")
+	adapter := stock.Item{Model: "a", Adapter: "x"}
+	router.report("e1", func(r *stock.Report) { r.Models = []stock.LoadedModel{{Model: "a", Adapters: []string{"x"}}} })
+	router.arrive(patientRoute(), adapter)
+	router.deny(onlyEffect[AskPermit](router), time.Second)
+	demand := onlyEffect[SendDemand](router)
+	assert.Equal(t, "e2", demand.Instance)
+	require.Len(t, demand.Demand.Wants, 1)
+	assert.Equal(t, adapter, demand.Demand.Wants[0].Item)
+}
+
 // Answers may overtake each other: only one to a request that was sent after the limit was seen
 // can end or raise it.
 func TestLimitEndsWithLaterAnswer(t *testing.T) {
@@ -155,9 +168,10 @@
 			router.advance(10 * time.Millisecond)
 			id := early
 			if !c.sentBefore {
-				router.state.endpoint("e1").limit.SeenAt = router.now.Add(-time.Second)
+				limit := router.state.endpoint("e1").limit
+				router.state.endpoint("e1").limit = stock.EndpointLimit{}
 				id = router.arrive(plainRoute(route.Safe), stock.Item{})
-				router.advance(time.Second)
+				router.state.endpoint("e1").limit = limit
 			}
 			require.NotNil(t, router.state.requests[id].target)
 			router.advance(10 * time.Millisecond)
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -49,7 +49,7 @@
 	}
 	engine := s.table.Engine(r.Service)
 	if at, limited := s.permitsLeftAt(r); limited {
-		return s.limitedSendTime(r, engine, at), ""
+		return s.limitedSendTime(r, engine, at)
 	}
 	if slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool { return s.canServe(e, r) }) {
 		// All endpoints are full. One of their requests is likely to end soon.
@@ -66,17 +66,24 @@
 }
 
 // limitedSendTime returns the time at which a request is expected to be sent whose endpoints
-// have no permits until permitsAt. If that is too late for the request, another replica is
-// loaded.
-func (s *State) limitedSendTime(r *request, engine *route.Engine, permitsAt time.Time) time.Time {
-	if engine == nil || r.Item.Model == "" || permitsAt.Add(minRunTime).Before(r.callerTimeoutAt()) {
-		return permitsAt
+// have no permits until permitsAt. If it can't wait for one, another replica is loaded, or it is
+// to be refused as RateLimited. An adapter is always loaded elsewhere, as that takes little time.
+func (s *State) limitedSendTime(r *request, engine *route.Engine, permitsAt time.Time) (time.Time, Reason) {
+	mayWait := s.mayWaitForPermit(r) && permitsAt.Add(minRunTime).Before(r.callerTimeoutAt())
+	if mayWait && (r.Item.Adapter == "" || s.unlimitedHolderCount(r.Service, stock.Item{Model: r.Item.Model}) == 0) {
+		return permitsAt, ""
+	}
+	if engine == nil || r.Item.Model == "" {
+		return permitsAt, RateLimited
 	}
 	loadedAt, reason := s.joinOrRequestLoad(r, engine)
-	if reason != "" || permitsAt.Before(loadedAt) || !s.hasPendingLoad(loadKey{r.Service, r.Item}) {
-		return permitsAt
+	if reason == "" && s.hasPendingLoad(loadKey{r.Service, r.Item}) && loadedAt.Add(minRunTime).Before(r.callerTimeoutAt()) {
+		return loadedAt, ""
+	}
+	if mayWait {
+		return permitsAt, ""
 	}
-	return loadedAt
+	return permitsAt, RateLimited
 }
 
 // awaitsListedHolder reports whether a holder of the requested item is likely to be usable
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -49,12 +49,7 @@
 // enqueue adds the request to the queue, or refuses it if it is not expected to be sent in
 // time.
 func (s *State) enqueue(r *request) {
-	if !slices.Contains(s.waiting, r) {
-		s.waiting = append(s.waiting, r)
-		slices.SortStableFunc(s.waiting, func(a, b *request) int {
-			return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), a.Deadline.Compare(b.Deadline))
-		})
-	}
+	s.addWaiting(r)
 	until := r.callerTimeoutAt()
 	s.emitWake(until)
 	if s.tooLateToSend(s.now) {
@@ -72,14 +67,22 @@
 	}
 	if reason == "" {
 		reason = TooLate
-		if _, limited := s.permitsLeftAt(r); limited {
-			reason = RateLimited
-		}
 		s.keepLoadForRetryIfInTime(r, readyAt)
 	}
 	s.refuseOrFail(r, reason, s.retryAt(readyAt))
 }
 
+// addWaiting adds the request to the queue unless it is there.
+func (s *State) addWaiting(r *request) {
+	if slices.Contains(s.waiting, r) {
+		return
+	}
+	s.waiting = append(s.waiting, r)
+	slices.SortStableFunc(s.waiting, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), a.Deadline.Compare(b.Deadline))
+	})
+}
+
 // callerTimeoutAt returns the time at which the caller disconnects if it has received
 // nothing.
 func (r *request) callerTimeoutAt() time.Time {
