core/router: double the timeout for an acknowledgement while it is missed

What callers saw: over a connection whose round trip takes longer than MaxAckTimeout (150 ms by default), a call that may not run twice got no answer until its caller left, although its agent ran it.

Cause: after "running" in answer to a tombstone request the router requests the answer again on a new connection and gives the agent the same time for it as before. Each exchange ended too early, for ever.

The timeout doubles with each exchange that ends without an acknowledgement from an endpoint that has, or may have, the request, up to 16 times, and goes back to normal with the first acknowledgement.

--- a/core/router/answer.go
+++ b/core/router/answer.go
@@ -36,6 +36,7 @@
 	s.resetFailuresIfStable(now, c.endpoint)
 	c.contactLostAt = time.Time{}
 	c.resendCount = 0
+	c.backoff = 0
 	if c.phase == phaseWithdrawing {
 		return
 	}
@@ -196,6 +197,7 @@
 func (s *State) handleAlreadyStarted(now time.Time, c *call) {
 	if !c.deadlineNear || c.answerBegun {
 		c.deadlineNear = false
+		c.backoff++
 		s.reattach(now, c)
 		return
 	}
--- a/core/router/call.go
+++ b/core/router/call.go
@@ -17,6 +17,8 @@
 	// maxResends is how often an unacknowledged offer is sent again to the same
 	// endpoint, each time on a new connection.
 	maxResends = 1
+	// maxBackoff bounds how often the timeout for an acknowledgement is doubled.
+	maxBackoff = 4
 	// maxAttempts is the maximum number of attempts of a call, each at one endpoint.
 	// A rerun counts as an attempt but is not limited by maxAttempts.
 	maxAttempts = 4
@@ -88,6 +90,9 @@
 	instance fleet.Instance
 	// resendCount counts the repeated offers since the last acknowledgement.
 	resendCount int
+	// backoff counts the exchanges since the last acknowledgement that timed out although
+	// the endpoint has, or may have, the request. Each doubles the timeout of the next one.
+	backoff int
 	// excluded lists the endpoints that are not tried again.
 	excluded []fleet.EndpointID
 	// answerBegun reports whether the caller has received the first chunk.
@@ -186,6 +191,7 @@
 	c.endpoint = id
 	c.attempt++
 	c.resendCount = 0
+	c.backoff = 0
 	c.sent = false
 	c.instance = 0
 	c.contactLostAt = time.Time{}
@@ -247,12 +253,14 @@
 	}
 }
 
-// ackTimeout returns how long an agent may take to acknowledge an offer.
+// ackTimeout returns how long an agent may take to acknowledge an offer. It grows while exchanges
+// time out: over a slow connection, a fixed timeout could end each of them too early.
 func (s *State) ackTimeout(now time.Time, c *call) time.Duration {
-	if c.answerBegun {
-		return s.opt.MaxAckTimeout
+	timeout := s.opt.MaxAckTimeout
+	if !c.answerBegun {
+		timeout = min(max(c.Deadline.Sub(now)/ackTimeoutDivisor, minAckTimeout), s.opt.MaxAckTimeout)
 	}
-	return min(max(c.Deadline.Sub(now)/ackTimeoutDivisor, minAckTimeout), s.opt.MaxAckTimeout)
+	return timeout << min(c.backoff, maxBackoff)
 }
 
 // startExchange gives a call a new exchange ID, which makes events of its earlier
@@ -323,6 +331,7 @@
 	case phaseReattaching:
 		s.reattach(now, c)
 	case phaseWithdrawing:
+		c.backoff++
 		s.requestTombstone(now, c)
 	case phaseAdmitted, phaseStreaming:
 		s.setPhaseTimeout(c, time.Time{})
--- a/faults/router_silent_test.go
+++ b/faults/router_silent_test.go
@@ -74,6 +74,31 @@
 	}
 }
 
+// TestSlowConnections delays the data on new connections to an endpoint so much that its
+// acknowledgements come too late. The caller gets the complete answer all the same.
+func TestSlowConnections(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{kindLong} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f := startProxyFleet(t, fleetOptions())
+			ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+			defer cancel()
+			e := warmUp(ctx, t, f.Fleet, routerModel)
+			c := call{id: kind, model: routerModel, kind: kind, stream: true, prompt: kind, tokens: silentTokens}
+			want := engineAnswer(ctx, t, e, c)
+			e.Engine.SetFaults(fakes.EngineFaults{Slowdown: 50})
+			f.silenceOpenConns(t, e.Host.Endpoint, fakes.ProxyFaults{DropToTarget: true, DropToCaller: true})
+			require.NoError(t, f.proxies[e.Host.Endpoint].SetFaults(fakes.ProxyFaults{Delay: 60 * time.Millisecond}))
+			a := send(ctx, f.Fleet, c)
+			require.Equal(t, http.StatusOK, a.status, a.body)
+			require.True(t, a.complete)
+			require.Equal(t, want, answerText(t, a.body))
+			require.Equal(t, 1, countExecutions(f.Fleet, c.id))
+		})
+	}
+}
+
 // sendAndSilence sends a call and sets faults on the open connections to endpoint id at the given
 // stage. It returns the answer and the time from the fault to the end of the answer.
 func (f *proxyFleet) sendAndSilence(ctx context.Context, t *testing.T, c call, id fleet.EndpointID, st stage, faults fakes.ProxyFaults) (answer, time.Duration) {
