core/router: withdraw a call from a slow agent before it goes elsewhere

What was seen: an idempotent call ran twice, at two endpoints, because its agent acknowledged late or its connection was silent for a moment.

Cause: after two missed acknowledgements, or a silent connection twice, the router gave the call to the next endpoint at once, without asking whether the first one ran it. A call that may not run twice has always been withdrawn first.

The router now requests a tombstone from such an endpoint: "running" makes it request the answer there, "tombstoned" lets it go elsewhere as not run. If the endpoint does not answer within two timeouts, cannot be connected to, or has forgotten, the call goes elsewhere as before. TestSilentAgentIsNotAskedForLong bounds that at a quarter of the patience.

TestSlowAcks ended its loop at any tombstone request, which only came near the deadline; it now ends at one to the last endpoint, with the same requirements.

--- a/core/router/answer.go
+++ b/core/router/answer.go
@@ -102,7 +102,7 @@
 		s.resend(now, c)
 		return
 	}
-	s.handleUnresponsive(now, c)
+	s.withdrawOrGiveUp(now, c)
 }
 
 // handleRefusal handles an agent's refusal: it retries the call at another
@@ -172,12 +172,19 @@
 	case "running", "done":
 		s.handleAlreadyStarted(now, c)
 	case "unknown":
+		if c.Idempotent && !c.deadlineNear {
+			s.handleUnresponsive(now, c)
+			return
+		}
 		s.refuseCall(c, fleet.Refusal{
 			Code: fleet.CodeOutcomeUnknown, NotRun: fleet.NotRunUnknown,
 			Detail: "the agent no longer knows whether the request ran",
 		})
 	default:
-		// The request is repeated when the phase times out.
+		if c.Idempotent && !c.deadlineNear {
+			s.handleUnresponsive(now, c)
+		}
+		// Any other call repeats the request when the phase times out.
 	}
 }
 
--- a/core/router/call.go
+++ b/core/router/call.go
@@ -331,8 +331,7 @@
 	case phaseReattaching:
 		s.reattach(now, c)
 	case phaseWithdrawing:
-		c.backoff++
-		s.requestTombstone(now, c)
+		s.handleNotWithdrawn(now, c)
 	case phaseAdmitted, phaseStreaming:
 		s.setPhaseTimeout(c, time.Time{})
 	}
--- a/core/router/lost.go
+++ b/core/router/lost.go
@@ -20,7 +20,7 @@
 			s.setPhaseTimeout(c, now.Add(2*s.opt.MaxAckTimeout))
 			return
 		}
-		s.handleUnresponsive(now, c)
+		s.withdrawOrGiveUp(now, c)
 		return
 	}
 	if !s.retryBudget.spend() {
@@ -57,6 +57,27 @@
 	s.retryElsewhere(now, c, notRunRefusal(fleet.CodeEndpointUnreachable, "the endpoint can't be reached", now.Add(defaultRetryAfter)))
 }
 
+// withdrawOrGiveUp handles a call whose endpoint may only be slow. A call that could go to another
+// endpoint is withdrawn first, so that it is not run twice.
+func (s *State) withdrawOrGiveUp(now time.Time, c *call) {
+	if c.answerOf == "" && !c.answerBegun {
+		s.requestTombstone(now, c)
+		return
+	}
+	s.handleUnresponsive(now, c)
+}
+
+// handleNotWithdrawn handles a call whose endpoint has not answered a tombstone request. Only a call
+// that may run twice is given to another endpoint.
+func (s *State) handleNotWithdrawn(now time.Time, c *call) {
+	if c.Idempotent && !c.deadlineNear {
+		s.handleUnresponsive(now, c)
+		return
+	}
+	c.backoff++
+	s.requestTombstone(now, c)
+}
+
 // handleUnresponsive handles a call whose endpoint may have the request but does
 // not respond.
 func (s *State) handleUnresponsive(now time.Time, c *call) {
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -177,6 +177,57 @@
 	require.NotEqual(t, first.Endpoint, onlyEffect[router.SendOffer](f).Endpoint)
 }
 
+// TestSlowAgentIsAskedBeforeRetry checks that an idempotent call whose agent acknowledges too late is
+// withdrawn before it goes to another endpoint, and stays if the agent runs it.
+func TestSlowAgentIsAskedBeforeRetry(t *testing.T) {
+	tests := map[string]struct {
+		state    string
+		endpoint fleet.EndpointID
+		attach   bool
+	}{
+		"running":    {state: "running", endpoint: "a", attach: true},
+		"tombstoned": {state: "tombstoned", endpoint: "b"},
+		"forgotten":  {state: "unknown", endpoint: "b"},
+		"no answer":  {state: "", endpoint: "b"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.arrive(unchanged)
+			f.markSent(onlyEffect[router.SendOffer](f))
+			f.advance(callTimeout)
+			f.markSent(onlyEffect[router.SendOffer](f))
+			f.advance(callTimeout)
+			tombstone := onlyEffect[router.RequestTombstone](f)
+			require.Equal(t, fleet.EndpointID("a"), tombstone.Endpoint)
+			f.apply(router.TombstoneAnswered{ID: "q", ExchangeID: tombstone.ExchangeID, State: tt.state})
+			next := onlyEffect[router.SendOffer](f)
+			require.Equal(t, tt.endpoint, next.Endpoint)
+			require.Equal(t, tt.attach, next.AttachOnly)
+		})
+	}
+}
+
+// TestSilentAgentIsNotAskedForLong checks that an idempotent call goes to another endpoint soon if its
+// agent does not answer a tombstone request.
+func TestSilentAgentIsNotAskedForLong(t *testing.T) {
+	f := newFixture(t)
+	f.arrive(unchanged)
+	began := f.now
+	for {
+		offer := onlyEffect[router.SendOffer](f)
+		if offer.Endpoint != "a" {
+			break
+		}
+		f.markSent(offer)
+		f.advance(callTimeout)
+		if hasEffect[router.RequestTombstone](f.effects) {
+			f.advance(callTimeout)
+		}
+	}
+	require.Less(t, f.now.Sub(began), callTimeout/4)
+}
+
 // TestChunkOvertaken covers a first chunk that reaches the caller while a tombstone
 // is requested. The answer has begun, so the call must be neither withdrawn at its
 // deadline nor started again elsewhere.
@@ -389,7 +440,11 @@
 	deadline := f.now.Add(callTimeout)
 	f.arrive(unchanged)
 	var o router.SendOffer
-	for f.now.Before(deadline) && !hasEffect[router.RefuseCall](f.effects) && !hasEffect[router.RequestTombstone](f.effects) {
+	// The first endpoint does not answer a tombstone request either.
+	withdrawnFrom := func(id fleet.EndpointID) bool {
+		return hasEffect[router.RequestTombstone](f.effects) && onlyEffect[router.RequestTombstone](f).Endpoint == id
+	}
+	for f.now.Before(deadline) && !hasEffect[router.RefuseCall](f.effects) && !withdrawnFrom("b") {
 		if hasEffect[router.SendOffer](f.effects) {
 			o = onlyEffect[router.SendOffer](f)
 			f.markSent(o)
--- a/faults/router_silent_test.go
+++ b/faults/router_silent_test.go
@@ -75,10 +75,10 @@
 }
 
 // TestSlowConnections delays the data on new connections to an endpoint so much that its
-// acknowledgements come too late. The caller gets the complete answer all the same.
+// acknowledgements come too late. An idempotent call is not run a second time elsewhere.
 func TestSlowConnections(t *testing.T) {
 	t.Parallel()
-	for _, kind := range []string{kindLong} {
+	for _, kind := range []string{kindLong, kindLongIdempotent} {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			f := startProxyFleet(t, fleetOptions())
