io/mirror: watch at once after a full read that took long

Cause: a full read that fails keeps its pages and goes on when the store answers again. What changed on the pages already read comes with the next watch, which starts at the revision of the first page, but only after WatchPause (700 ms). Seen in the calls of a failed run: first page at 11.3 s, the others after an outage at 15.0 s, no watch until the check.

--- a/io/mirror/fault_test.go
+++ b/io/mirror/fault_test.go
@@ -253,6 +253,29 @@
 	}
 }
 
+// A key changes after a full read has read it, and the read fails and is resumed. The change
+// is seen as soon as the read has completed, not after another pause.
+func TestChangeDuringResumedRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &faultyStore{fakeStore: newFakeStore(), slowDelay: randomSlowDelay}
+		s.pageSize = 1
+		s.put("op/config", "1")
+		s.put("servers/a", "1")
+		s.put("servers/b", "1")
+		m, snapshot := startRootMirror(t, s)
+		requireEventually(t, s.content(), snapshot)
+		s.withLock(func() { s.fault = faultSlow })
+		m.Refresh()
+		time.Sleep(platformWatchPause + s.slowDelay + s.slowDelay/2)
+		s.put("op/config", "2")
+		s.withLock(func() { s.fault = faultRefuse })
+		time.Sleep(s.slowDelay)
+		s.withLock(func() { s.fault = faultNone })
+		time.Sleep(platformWatchPause - minBackoff)
+		assert.Equal(t, s.content(), snapshot())
+	})
+}
+
 // An answer that arrives long after the wait of its watch, as for a large list after
 // a long outage, is used. Discarding it would repeat the same watch forever.
 func TestLongWatchAnswer(t *testing.T) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -126,6 +126,9 @@
 	cursor int64
 	// fullRead is the full read in progress, or nil.
 	fullRead *fullRead
+	// behind reports whether the store is known to have a revision after cursor, so
+	// that the next watch must start without a pause.
+	behind bool
 	// refresh receives the requests made by Refresh.
 	refresh chan struct{}
 	// rereadNow reports whether a full read must start without a pause.
@@ -154,8 +157,8 @@
 // many calls.
 type fullRead struct {
 	items []Item
-	// revision is the revision of the first page. Later pages may have later revisions.
-	revision int64
+	// revision is the revision of the first page, newest that of the last one.
+	revision, newest int64
 	// after is the last key read.
 	after string
 	// progressed reports whether a page has arrived since the last failed call.
@@ -186,7 +189,7 @@
 		err := m.step(ctx)
 		if err == nil {
 			pause = minBackoff
-			if !m.rereadDue() {
+			if !m.behind && !m.rereadDue() {
 				m.sleep(ctx, m.opts.WatchPause)
 			}
 			continue
@@ -235,6 +238,7 @@
 		wait = min(wait, max(time.Until(at), time.Millisecond))
 	}
 	items, cursor, err := m.watch(ctx, wait)
+	m.behind = false
 	if errors.Is(err, errRefresh) {
 		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.cursor).Msg("change reported by another process; reading all keys")
 		m.cursor, m.rereadNow = 0, true
@@ -308,6 +312,7 @@
 		return err
 	}
 	items, cursor := m.fullRead.items, m.fullRead.revision
+	m.behind = m.fullRead.newest > cursor
 	m.fullRead = nil
 	m.markOutageEnd()
 	m.cursor = cursor
@@ -348,6 +353,7 @@
 		if r.revision == 0 {
 			r.revision = page.Revision
 		}
+		r.newest = max(r.newest, page.Revision)
 		r.items = append(r.items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return nil
