core/router: give a rerun the patience of its caller to load the model

What callers saw: a stream whose endpoint was lost was cut ("unexpected EOF") instead of continued elsewhere.

Cause: an endpoint that runs a begun answer again was given one second, the time in which an agent that is lost for a moment is reached again. An endpoint that had to load the model first refused it ("the patience ended in the queue"); the next one did too, until the retry budget was used up.

TestRerunHasTimeToLoad fails on the code before (1 s where the patience is 2 s).

A streamed answer has the caller's patience anew; one that is not streamed still has its deadline.

--- a/core/router/call.go
+++ b/core/router/call.go
@@ -69,6 +69,8 @@
 // call is the state of a caller's request in progress.
 type call struct {
 	Call
+	// patience is the time from the call's arrival to its deadline.
+	patience time.Duration
 	// withdrawAt is when the call is withdrawn if the caller has no first chunk
 	// by then; refuseAt is when it is refused whatever is known.
 	withdrawAt time.Time
@@ -126,11 +128,12 @@
 
 // newCall returns the state of a call that arrives now.
 func newCall(now time.Time, in Call) *call {
-	total := in.Deadline.Sub(now)
+	patience := in.Deadline.Sub(now)
 	return &call{
 		Call:       in,
-		withdrawAt: in.Deadline.Add(-min(maxWithdrawLead, total/withdrawLeadDivisor)),
-		refuseAt:   in.Deadline.Add(-min(maxRefuseLead, total/refuseLeadDivisor)),
+		patience:   patience,
+		withdrawAt: in.Deadline.Add(-min(maxWithdrawLead, patience/withdrawLeadDivisor)),
+		refuseAt:   in.Deadline.Add(-min(maxRefuseLead, patience/refuseLeadDivisor)),
 	}
 }
 
@@ -218,15 +221,26 @@
 	s.startExchange(c)
 	eff.ID, eff.ExchangeID, eff.Attempt, eff.Endpoint = c.ID, c.exchangeID, c.attempt, c.endpoint
 	eff.AnswerOf = c.answerOf
-	eff.NotAfter = c.Deadline
-	if c.answerBegun {
-		eff.NotAfter = now.Add(reattachTimeout)
-	}
+	eff.NotAfter = c.endpointDeadline(now, eff.Rerun)
 	s.countInflightAt(c, c.endpoint)
 	s.emit(eff)
 	s.setPhaseTimeout(c, now.Add(s.ackTimeout(now, c)))
 }
 
+// endpointDeadline returns until when the endpoint may begin to answer an offer that is made now. The
+// endpoint that runs a begun stream again may have to load the model first, so it has the patience of
+// the caller anew.
+func (c *call) endpointDeadline(now time.Time, rerun bool) time.Time {
+	switch {
+	case !c.answerBegun || rerun && !c.Stream:
+		return c.Deadline
+	case rerun:
+		return now.Add(c.patience)
+	default:
+		return now.Add(reattachTimeout)
+	}
+}
+
 // countInflightAt moves a call to the in-flight count of an endpoint, and out of
 // all counts if id is empty.
 func (s *State) countInflightAt(c *call, id fleet.EndpointID) {
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -303,6 +303,40 @@
 	require.True(t, onlyEffect[router.SendOffer](f).Rerun)
 }
 
+// TestRerunHasTimeToLoad checks that the endpoint that runs a begun stream again may load its model
+// first. An answer that is not streamed still has its deadline.
+func TestRerunHasTimeToLoad(t *testing.T) {
+	tests := map[string]struct {
+		stream bool
+		// fromArrival reports whether the time counts from the arrival, not from the rerun.
+		fromArrival bool
+	}{
+		"stream":       {stream: true},
+		"whole answer": {fromArrival: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			arrived := f.now
+			f.arrive(func(c *router.Call) { c.Stream = tt.stream })
+			first := onlyEffect[router.SendOffer](f)
+			f.markSent(first)
+			f.apply(router.AnswerBegan{ID: "q", ExchangeID: first.ExchangeID})
+			f.now = f.now.Add(callTimeout / 4)
+			f.apply(router.OfferRefused{ID: "q", ExchangeID: first.ExchangeID, Refusal: fleet.Refusal{
+				Code: fleet.CodeEngineFailed, NotRun: fleet.NotRunFalse,
+			}})
+			rerun := onlyEffect[router.SendOffer](f)
+			require.True(t, rerun.Rerun)
+			from := f.now
+			if tt.fromArrival {
+				from = arrived
+			}
+			require.Equal(t, callTimeout, rerun.NotAfter.Sub(from))
+		})
+	}
+}
+
 // TestWholeAnswerIsBounded checks that an answer that is not streamed must be complete
 // by the deadline, even if it has begun.
 func TestWholeAnswerIsBounded(t *testing.T) {
