io/mirror: log the error of a call that fails beside another one

It is logged now, for those who look at debug lines. TestFailureBesideAnotherCallIsLogged fails on the code before.

--- a/io/mirror/fault_test.go
+++ b/io/mirror/fault_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -341,6 +342,26 @@
 	return s.fakeStore.Watch(ctx, prefix, after, wait)
 }
 
+// The error of a call that fails while another one is in progress is logged.
+func TestFailureBesideAnotherCallIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		m := New(Options{Log: zerolog.New(&log)})
+		const delay = 100 * time.Millisecond
+		got, err := hedge(t.Context(), m, delay, nil, func(_ context.Context, hedged bool) (int, error) {
+			if hedged {
+				time.Sleep(delay)
+				return 1, nil
+			}
+			time.Sleep(delay + delay/2)
+			return 0, errDown
+		})
+		require.NoError(t, err)
+		assert.Equal(t, 1, got)
+		assert.Contains(t, log.String(), errDown.Error())
+	})
+}
+
 // A connection that hangs while others work does not count as an outage of the
 // store: an entry that is removed meanwhile is dropped at once and not retained.
 func TestSilentConnectionIsNoOutage(t *testing.T) {
--- a/io/mirror/hedge.go
+++ b/io/mirror/hedge.go
@@ -58,6 +58,7 @@
 			if a.err == nil || errors.Is(a.err, ErrCompacted) || inFlight == 0 {
 				return a.value, a.err
 			}
+			m.opts.Log.Debug().Err(a.err).Str("prefix", m.opts.Prefix).Msg("store call failed; another one is in progress")
 		case <-timer.C:
 			if hedging {
 				// Only after a hedged call has failed too is the store known to hang,
