core/router: wait for the only endpoint when it can't be connected to

What callers saw: a request was refused as endpoint-unreachable, truly but needlessly, when the connection to the one agent that could serve it failed for a moment, although the caller would have waited for tens of seconds.

Cause: an offer that could not be sent excluded its endpoint for good; with no other endpoint left the call was refused at once.

TestConnectionLostForAMoment fails on the code before.

The router tries to connect again every 100 ms for up to a second, the time for which it also tries to reach the agent of a begun answer, and then refuses the call as before. A deadline within that time is refused as not run.

TestPossiblyRunCallIsNotRefusedAsNotRun, "next unreachable", now reports the repeated offers as not sent too, with the same requirement on the refusal.

--- a/core/router/call.go
+++ b/core/router/call.go
@@ -62,6 +62,9 @@
 	phaseStreaming
 	// phaseReattaching waits until the answer is requested again.
 	phaseReattaching
+	// phaseReconnecting waits before the next attempt to connect to an endpoint that has
+	// not been sent the request.
+	phaseReconnecting
 	// phaseWithdrawing waits for the answer to a tombstone request.
 	phaseWithdrawing
 )
@@ -344,6 +347,8 @@
 		s.handleAckTimeout(now, c)
 	case phaseReattaching:
 		s.reattach(now, c)
+	case phaseReconnecting:
+		s.resend(now, c)
 	case phaseWithdrawing:
 		s.handleNotWithdrawn(now, c)
 	case phaseAdmitted, phaseStreaming:
@@ -355,7 +360,7 @@
 // withdraws the call first, so that the refusal can state whether the request
 // ran, and refuses it if that takes until refuseAt.
 func (s *State) handleExpiry(now time.Time, c *call) {
-	if c.phase == phaseClaiming {
+	if c.phase == phaseClaiming || c.phase == phaseReconnecting {
 		s.refuseCall(c, notRunRefusal(fleet.CodeDeadlineExceeded, "the patience ended before an endpoint was reached", now))
 		return
 	}
--- a/core/router/lost.go
+++ b/core/router/lost.go
@@ -43,7 +43,8 @@
 }
 
 // handleNotSent handles an offer that could not be sent, or that was withdrawn
-// before it was sent.
+// before it was sent. A call that no other endpoint can serve waits up to reattachTimeout
+// for a connection to this one.
 func (s *State) handleNotSent(now time.Time, c *call) {
 	s.markSuspect(now, c.endpoint)
 	if c.sent || c.answerOf != "" {
@@ -54,6 +55,15 @@
 		s.refuseCall(c, notRunRefusal(fleet.CodeDeadlineExceeded, "the patience ended before an endpoint was reached", now))
 		return
 	}
+	if c.contactLostAt.IsZero() {
+		c.contactLostAt = now
+	}
+	if now.Sub(c.contactLostAt) < reattachTimeout && !s.hasAlternative(now, c) {
+		c.phase = phaseReconnecting
+		s.startExchange(c)
+		s.setPhaseTimeout(c, now.Add(reattachInterval))
+		return
+	}
 	s.retryElsewhere(now, c, notRunRefusal(fleet.CodeEndpointUnreachable, "the endpoint can't be reached", now.Add(defaultRetryAfter)))
 }
 
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -115,6 +115,20 @@
 	f.apply(router.OfferSent{ID: o.ID, ExchangeID: o.ExchangeID, Instance: 7})
 }
 
+// failToSend reports that an offer and its repetitions to the same endpoint could not be sent, until
+// there are no more.
+func (f *fixture) failToSend(o router.SendOffer) {
+	for id := o.Endpoint; o.Endpoint == id; o = onlyEffect[router.SendOffer](f) {
+		f.apply(router.OfferNotSent{ID: o.ID, ExchangeID: o.ExchangeID})
+		if hasEffect[router.RefuseCall](f.effects) {
+			return
+		}
+		if !hasEffect[router.SendOffer](f.effects) {
+			f.advance(callTimeout)
+		}
+	}
+}
+
 // TestPossiblyRunCallIsNotRefusedAsNotRun checks that an idempotent call that one endpoint
 // may have run is never refused as not run, however it fails at the next endpoint.
 func TestPossiblyRunCallIsNotRefusedAsNotRun(t *testing.T) {
@@ -123,7 +137,7 @@
 			f.apply(router.OfferRefused{ID: "q", ExchangeID: second.ExchangeID, Refusal: fleet.Refusal{Code: fleet.CodeOverloaded, NotRun: fleet.NotRunTrue}})
 		},
 		"next unreachable": func(f *fixture, second router.SendOffer) {
-			f.apply(router.OfferNotSent{ID: "q", ExchangeID: second.ExchangeID})
+			f.failToSend(second)
 		},
 		"deadline passes before next is reached": func(f *fixture, second router.SendOffer) {
 			for range 100 {
@@ -303,6 +317,47 @@
 	require.True(t, onlyEffect[router.SendOffer](f).Rerun)
 }
 
+// TestConnectionLostForAMoment checks that a call is offered again to the only endpoint that can serve
+// it after a failure to connect, and is refused as not run if that goes on.
+func TestConnectionLostForAMoment(t *testing.T) {
+	arrive := func(t *testing.T) (*fixture, router.SendOffer) {
+		f := newFixture(t)
+		f.arrive(makeNonIdempotent)
+		first := onlyEffect[router.SendOffer](f)
+		f.apply(router.OfferRefused{ID: "q", ExchangeID: first.ExchangeID, Refusal: fleet.Refusal{
+			Code: fleet.CodeNotAssigned, NotRun: fleet.NotRunTrue,
+		}})
+		return f, onlyEffect[router.SendOffer](f)
+	}
+	t.Run("regained", func(t *testing.T) {
+		f, only := arrive(t)
+		f.apply(router.OfferNotSent{ID: "q", ExchangeID: only.ExchangeID})
+		f.advance(callTimeout)
+		again := onlyEffect[router.SendOffer](f)
+		require.Equal(t, only.Endpoint, again.Endpoint)
+		require.True(t, again.NewConn)
+		require.False(t, again.AttachOnly)
+	})
+	t.Run("lost for good", func(t *testing.T) {
+		f, only := arrive(t)
+		began := f.now
+		f.failToSend(only)
+		refusal := onlyEffect[router.RefuseCall](f).Refusal
+		require.Equal(t, fleet.CodeEndpointUnreachable, refusal.Code)
+		require.Equal(t, fleet.NotRunTrue, refusal.NotRun)
+		require.LessOrEqual(t, f.now.Sub(began), 1100*time.Millisecond)
+	})
+	t.Run("deadline", func(t *testing.T) {
+		f, only := arrive(t)
+		f.now = f.now.Add(callTimeout - 150*time.Millisecond)
+		f.apply(router.OfferNotSent{ID: "q", ExchangeID: only.ExchangeID})
+		f.advance(callTimeout)
+		refusal := onlyEffect[router.RefuseCall](f).Refusal
+		require.Equal(t, fleet.CodeDeadlineExceeded, refusal.Code)
+		require.Equal(t, fleet.NotRunTrue, refusal.NotRun)
+	})
+}
+
 // TestRerunHasTimeToLoad checks that the endpoint that runs a begun stream again may load its model
 // first. An answer that is not streamed still has its deadline.
 func TestRerunHasTimeToLoad(t *testing.T) {
