core/relay: test limits while routers reach no agent

Not tested before: one router, a third or most of 5, 27, 107 and 330 that reach no agent while the others get permits, and limits that fall or end meanwhile. No fault was found.

Routers that are cut off from an agent no longer get its reports in the simulated fleet either, nor does it get theirs.

--- a/core/relay/limitfleet_test.go
+++ b/core/relay/limitfleet_test.go
@@ -172,7 +172,9 @@
 		case AskPermit:
 			f.askPermit(r, eff)
 		case ReportLimit:
-			f.toAgent(eff.Granter, swap.LimitReported{Limit: eff.Limit})
+			if !f.isCutOff(r.index, eff.Granter) {
+				f.toAgent(eff.Granter, swap.LimitReported{Limit: eff.Limit})
+			}
 		case Refuse:
 			f.heldFor = append(f.heldFor, f.now.Sub(f.arrivedAt[fleetRequest{r.index, eff.ID}]))
 		}
@@ -209,7 +211,7 @@
 func (f *limitFleet) askPermit(r *fleetRouter, eff AskPermit) {
 	f.askCount++
 	answered := PermitAnswered{ID: eff.ID, Number: eff.Number, Result: PermitUnanswered}
-	if f.now.Before(f.downUntil[eff.Granter]) || f.cutOff != nil && f.cutOff(r.index, eff.Granter) {
+	if f.now.Before(f.downUntil[eff.Granter]) || f.isCutOff(r.index, eff.Granter) {
 		f.post(r, answered)
 		return
 	}
@@ -238,13 +240,19 @@
 				delete(f.asks, eff.Number)
 			case swap.Publish:
 				for _, r := range f.routers {
-					f.report(agent, r, eff.Report.Limits)
+					if !f.isCutOff(r.index, agent) {
+						f.report(agent, r, eff.Report.Limits)
+					}
 				}
 			}
 		}
 	})
 }
 
+func (f *limitFleet) isCutOff(router int, agent string) bool {
+	return f.cutOff != nil && f.cutOff(router, agent)
+}
+
 // run advances the clock by d. In each step the routers get requests at the given total rate.
 func (f *limitFleet) run(d time.Duration, requestsPerSecond float64) {
 	for end := f.now.Add(d); f.now.Before(end); {
@@ -436,3 +444,56 @@
 		})
 	}
 }
+
+// Guards against routers that reach no agent: they and the others, which go on to get permits,
+// exceed the limit together.
+func TestFleetWithCutRoutersKeepsToLimit(t *testing.T) {
+	for _, routers := range []int{5, 27, 107, 330} {
+		for _, perSecond := range []float64{0.3, 1, 5, 50} {
+			for name, cutCount := range map[string]int{"one": 1, "a third": routers / 3, "most": routers - 1} {
+				t.Run(fmt.Sprintf("%d routers, %g a second, %s cut", routers, perSecond, name), func(t *testing.T) {
+					t.Parallel()
+					f := newLimitFleet(t, 1, routers, "p1", perSecond)
+					f.run(2*time.Second, 4*perSecond+20)
+					f.namedAt = f.now
+					f.run(5*time.Second, 4*perSecond+20)
+					f.cutOff = func(router int, _ string) bool { return router < cutCount }
+					f.run(8*time.Second, 4*perSecond+20)
+					f.cutOff = nil
+					f.run(8*time.Second, 4*perSecond+20)
+					assert.LessOrEqual(t, f.mostInWindow(3*time.Second), int(1.5*4*perSecond+5))
+				})
+			}
+		}
+	}
+}
+
+// Guards against routers that keep to a limit for good that ended, or that another one replaced,
+// while they reached no agent.
+func TestLimitChangesWhileRoutersAreCut(t *testing.T) {
+	for _, routers := range []int{5, 27, 107, 330} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			t.Parallel()
+			f := newLimitFleet(t, 1, routers, "p1", 5)
+			f.namedAt = f.now
+			f.run(5*time.Second, 100)
+			f.cutOff = func(router int, _ string) bool { return router < routers/3 }
+			f.run(2*time.Second, 100)
+			f.perSecond = 1
+			f.run(6*time.Second, 100)
+			f.cutOff = nil
+			f.run(3*time.Second, 100)
+			for _, r := range f.routers {
+				assert.InDelta(t, 1, r.state.endpoint("p1").limit.PerSecond, 0, "router %d", r.index)
+			}
+			f.cutOff = func(router int, _ string) bool { return router < routers/3 }
+			f.namedAt = time.Time{}
+			f.run(6*time.Second, 100)
+			f.cutOff = nil
+			f.run(6*time.Second, 100)
+			for _, r := range f.routers {
+				assert.False(t, r.state.endpoint("p1").limit.InForce(), "router %d", r.index)
+			}
+		})
+	}
+}
