io/relayd: don't take comments for progress of a stream

What callers saw: a stream whose replica stalled, but went on to send a comment or an empty line now and then, was not resumed elsewhere. It ended broken at the caller's deadline, or never if it had begun and the caller waited.

Evidence: TestDrippingReplicaIsAbandoned fails on the code before in its four cases with comments and empty lines (unexpected EOF after 2 s); single bytes were handled already. It passes with the change, 5 of 5.

Only blocks with a field count. All blocks are still forwarded.

--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -23,7 +23,7 @@
 
 // forwardStream forwards the events of a stream as they arrive. Only complete events are
 // forwarded, so that the stream can be resumed at another endpoint. The time from one event
-// to the next is limited to send.MaxGap.
+// to the next is limited to send.MaxGap; comments do not count.
 func (x *exchange) forwardStream(c *conns.Conn, send relay.Send, resp *http.Response) error {
 	events := bufio.NewReaderSize(resp.Body, maxEventBytes)
 	if !x.headerSent {
@@ -43,13 +43,15 @@
 			}
 			return fmt.Errorf("read stream: %w", err)
 		}
-		if !started {
-			started = true
-			x.d.meters.firstEventTime.UpdateSince(x.arrivedAt)
-			x.d.loop.Post(relay.AnswerStarted{ID: x.id})
-		}
-		if err := setEventDeadline(c, send.MaxGap); err != nil {
-			return err
+		if hasField(ev) {
+			if !started {
+				started = true
+				x.d.meters.firstEventTime.UpdateSince(x.arrivedAt)
+				x.d.loop.Post(relay.AnswerStarted{ID: x.id})
+			}
+			if err := setEventDeadline(c, send.MaxGap); err != nil {
+				return err
+			}
 		}
 		if !x.acceptEvent(ev) {
 			continue
@@ -60,6 +62,17 @@
 	}
 }
 
+// hasField reports whether an event has a field. Comments and empty lines, which keep a connection
+// open, are not progress of the answer.
+func hasField(ev []byte) bool {
+	for line := range bytes.Lines(ev) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // setEventDeadline limits the time until the next event; 0 means no limit.
 func setEventDeadline(c *conns.Conn, maxGap time.Duration) error {
 	var deadline time.Time
