io/relayd: refuse requests whose body is not read when the router ends

Cause: the end aborted the attempts at endpoints only, not the reads of bodies, which go on for up to 10 s.

Such requests are now refused with 503, to be repeated at once elsewhere.

--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -1,6 +1,7 @@
 package relayd
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 	ErrTooLarge = errors.New("request too large")
 	// ErrOverloaded means that the memory for the bodies of requests is used up.
 	ErrOverloaded = errors.New("no memory for the request")
+	// ErrStopping means that the router ends before it has read the request.
+	ErrStopping = errors.New("the router is stopping")
 )
 
 const (
@@ -121,14 +124,17 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.Is(err, ErrOverloaded):
 		refuse(w, http.StatusServiceUnavailable, time.Second, err.Error())
+	case errors.Is(err, ErrStopping):
+		// Other routers serve it now.
+		refuse(w, http.StatusServiceUnavailable, 0, ErrStopping.Error())
 	default:
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
 }
 
-// newExchange reads a request. Errors wrap ErrBadRequest, ErrTooLarge or ErrOverloaded unless
-// a deadline could not be set on the caller's connection.
+// newExchange reads a request. Errors wrap ErrBadRequest, ErrTooLarge, ErrOverloaded or
+// ErrStopping unless a deadline could not be set on the caller's connection.
 func (d *Daemon) newExchange(w http.ResponseWriter, r *http.Request, table *route.Table, rt *route.Route) (*exchange, error) {
 	now := time.Now()
 	info, err := d.opts.HeaderCodec.ParseRequest(now, r.Header)
@@ -176,7 +182,11 @@
 	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 		return nil, fmt.Errorf("bound body: %w", err)
 	}
+	defer context.AfterFunc(d.attemptsCtx, func() { d.endBodyRead(rc) })()
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil && d.attemptsCtx.Err() != nil {
+		return nil, fmt.Errorf("read body: %w: %w", ErrStopping, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("read body: %w: %w", ErrBadRequest, err)
 	}
@@ -190,6 +200,13 @@
 	return body, nil
 }
 
+// endBodyRead ends the read of a body in progress.
+func (d *Daemon) endBodyRead(rc *http.ResponseController) {
+	if err := rc.SetReadDeadline(time.Now()); err != nil {
+		d.log.Warn().Err(err).Msg("could not end the read of a body")
+	}
+}
+
 // refuse answers a request that has not run with an error and with the time after which the
 // caller should retry.
 func refuse(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
