io/relayd: log the prompt parts of broken attempts

Before any change of logic: the lines could not tell whether requests with one part in their prompts crash endpoint after endpoint, or whether the crashes come by themselves. A broken attempt now has the parts of its prompt, and whether the head of an answer had come.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -172,6 +172,8 @@
 	Answering bool
 	// Unsent reports whether an attempt with the result Expired had sent nothing.
 	Unsent bool
+	// HeadReceived reports whether the head of an answer to the attempt has been received.
+	HeadReceived bool
 }
 
 // Kind implements event.Event.
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -272,6 +272,7 @@
 		ended.Result = info.Result
 		return keep, conns.DiscardBody(resp, maxForeignBytes)
 	}
+	ended.HeadReceived = true
 	if err := x.forwardAnswer(c, send, resp, info, ended); err != nil {
 		return conns.IdleTimeout{}, err
 	}
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"chervilreach/core/relay"
 )
@@ -58,12 +59,20 @@
 		Int64("took-ms", time.Since(startedAt).Milliseconds()).
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
 		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err)
+	if ended.Result == relay.Broken {
+		line = line.Bool("head", ended.HeadReceived).Strs("parts", x.partIDs())
+	}
 	if x.limitHeader != "" {
 		line = line.Str("limit", x.limitHeader)
 	}
 	line.Msg("attempt")
 }
 
+// partIDs returns the IDs of the parts of the request's prompt.
+func (x *exchange) partIDs() []string {
+	return lo.Map(x.request.Prefix, func(p relay.PromptPart, _ int) string { return p.ID })
+}
+
 // logWait logs what a queued request waits for.
 func (d *Daemon) logWait(eff relay.Wait) {
 	d.mu.Lock()
