core/swap, core/relay: report an endpoint that refuses connections as down

A timeout or any other error is not taken for the end of the process. Older routers read the missing models, older agents report as before.

TestEndpointThatRefusesConnectionsIsReportedDown failed before ("Should be true"), and TestEndpointThatIsDownGetsNoRequestsAndLoads (expected e2, actual e1).

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -203,6 +203,21 @@
 
 // If the store is unavailable when an endpoint restarts, only the agent's report shows the
 // new instance.
+// Guards against routers that ask an endpoint whose process has ended for loads.
+func TestEndpointThatIsDownGetsNoRequestsAndLoads(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm))
+	router.report("e1", withModels("a"))
+	router.report("e2", withModels("a"))
+	router.report("e1", func(r *stock.Report) { r.Down, r.Copies.Memory = true, []string{"b"} })
+	for range 10 {
+		id := router.arrive(streamRoute(), modelA)
+		assert.Equal(t, "e2", onlyEffect[Send](router).Instance)
+		router.endAttempt(id, Done)
+	}
+	router.arrive(patientRoute(), stock.Item{Model: "b"})
+	assert.Equal(t, "e2", onlyEffect[SendDemand](router).Instance, "e1 would load b sooner")
+}
+
 func TestEndpointThatStartedAgainIsKnownByItsAgent(t *testing.T) {
 	router := newTestRouter(t, testEntry("old", llm))
 	router.report("old", withModels("a"))
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -80,6 +80,8 @@
 	// Limits are the latest limits of endpoints that routers have told the agent, sorted by
 	// instance. They include limits that have ended recently.
 	Limits []EndpointLimit
+	// Down reports whether the endpoint refuses connections, so that its process has ended.
+	Down bool
 }
 
 // EndpointLimit is the rate limit that an endpoint names in its answers, or its end.
--- a/core/swap/events.go
+++ b/core/swap/events.go
@@ -55,6 +55,9 @@
 type ObserveFailed struct {
 	// Reason is the text of the error.
 	Reason string
+	// Refused reports whether the endpoint's host refused the connection, which means that the
+	// endpoint's process has ended.
+	Refused bool
 }
 
 // Kind implements event.Event.
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -70,6 +70,8 @@
 	pollInFlight bool
 	// limits has the limited endpoints by instance.
 	limits map[string]*limitedEndpoint
+	// endpointDown reports whether the endpoint refused the connection of the last poll.
+	endpointDown bool
 	// publishedReport is the last report sent to routers, publishedAt the time of it.
 	publishedReport stock.Report
 	publishedAt     time.Time
@@ -112,7 +114,7 @@
 	case Observed:
 		s.handleObserved(ev)
 	case ObserveFailed:
-		s.pollInFlight, s.snapshotAt = false, time.Time{}
+		s.pollInFlight, s.snapshotAt, s.endpointDown = false, time.Time{}, ev.Refused
 	case DemandReceived:
 		s.handleDemand(ev)
 	case RouterConnected:
@@ -144,7 +146,7 @@
 // handleObserved adopts a snapshot unless a later one is known. If the endpoint has
 // restarted, the pending order is dropped.
 func (s *State) handleObserved(ev Observed) {
-	s.pollInFlight = false
+	s.pollInFlight, s.endpointDown = false, false
 	if ev.AskedAt.Before(s.snapshotAt) {
 		return
 	}
@@ -235,7 +237,7 @@
 		return
 	}
 	interval := idlePollInterval
-	if s.snapshot.Report.Running > 0 {
+	if s.snapshot.Report.Running > 0 || s.endpointDown {
 		interval = runningPollInterval
 	}
 	if s.pendingOrder != nil || len(s.loadRequests()) > 0 {
@@ -265,9 +267,13 @@
 	r.Loads = s.expectedLoads()
 	r.Models = s.servableModels()
 	r.Limits = s.reportedLimits()
+	if r.Down = s.endpointDown; r.Down {
+		// A process that has ended holds nothing.
+		r.Models, r.Loads, r.Running, r.Waiting, r.KVUsed = nil, nil, 0, 0, 0
+	}
 	old := &s.publishedReport
 	sinceLast := s.now.Sub(s.publishedAt)
-	changed := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
+	changed := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Down != old.Down || r.Routers != old.Routers ||
 		!slices.EqualFunc(r.Models, old.Models, stock.LoadedModel.Equal) || !slices.EqualFunc(r.Loads, old.Loads, sameItem) ||
 		!slices.EqualFunc(r.Limits, old.Limits, stock.EndpointLimit.Equal)
 	loadChanged := r.Running != old.Running || r.Waiting != old.Waiting
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -352,6 +352,22 @@
 	assert.Equal(t, []string{"m3"}, sim.loadedModels())
 }
 
+// Guards against agents that go on reporting the models of an endpoint whose process has ended, so
+// that routers send requests there until its entry is gone.
+func TestEndpointThatRefusesConnectionsIsReportedDown(t *testing.T) {
+	sim := newSimulation(t, "m0", "m1")
+	sim.run(time.Second)
+	require.False(t, sim.lastReport.Down)
+	sim.apply(ObserveFailed{Reason: "timeout"})
+	assert.False(t, sim.lastReport.Down, "it may only be slow")
+	sim.apply(ObserveFailed{Reason: "connection refused", Refused: true})
+	assert.True(t, sim.lastReport.Down)
+	assert.Empty(t, sim.lastReport.Models)
+	sim.run(time.Second)
+	assert.False(t, sim.lastReport.Down)
+	assert.Len(t, sim.lastReport.Models, 2)
+}
+
 func TestAdapters(t *testing.T) {
 	sim := newSimulation(t, "m0", "m1")
 	request := func(adapter string) {
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -320,7 +322,7 @@
 	snapshot, err := d.takeSnapshot(ctx)
 	d.logEndpointChange(err)
 	if err != nil {
-		d.loop.Post(swap.ObserveFailed{Reason: err.Error()})
+		d.loop.Post(swap.ObserveFailed{Reason: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
 	}
 	d.loop.Post(swap.Observed{AskedAt: askedAt, Engine: snapshot})
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -70,6 +70,7 @@
 			}
 		}),
 		Limits: lo.Map(r.Limits, func(l stock.EndpointLimit, _ int) *wirepb.EndpointLimit { return EncodeLimit(now, l) }),
+		Down:   r.Down,
 	}
 	if !r.Copies.Equal(last.Copies) || r.Instance != last.Instance {
 		s.Copied = &wirepb.Copied{Memory: r.Copies.Memory, Disk: r.Copies.Disk}
@@ -109,6 +110,7 @@
 			return stock.ScheduledLoad{Item: item, ReadyAt: now.Add(micros(l.GetRemainingUs()))}
 		}),
 		Copies: last.Copies,
+		Down:   s.GetDown(),
 	}
 	for _, l := range s.GetLimits() {
 		r.Limits = append(r.Limits, DecodeLimit(now, l))
