platform/mock: add prompt parts that crash replicas

Replica.SetDeadlyParts makes a replica crash when it begins to answer a prompt with one of the parts, and start again under a new name. The run log records arrivals with the parts of their prompts, and crashes. RequestText sends prompt parts.

A load that ended while its replica was down listed the replica again under the name of the crashed instance. TestCrashedReplicaStaysUnlisted failed without the check in writeEntry: an entry was written after the crash.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -154,7 +154,7 @@
 	if err := c.SetDeadline(time.Now().Add(timeout + time.Second)); err != nil {
 		return err
 	}
-	if _, err := io.WriteString(c, mock.RequestText(o.path, o.attemptID, model, timeout)); err != nil {
+	if _, err := io.WriteString(c, mock.RequestText(o.path, o.attemptID, model, "", timeout)); err != nil {
 		return err
 	}
 	o.fullySent = true
