--- a/core/relay/prompts.go
+++ b/core/relay/prompts.go
@@ -1,6 +1,9 @@
 package relay
 
-import "chervilreach/core/stock"
+import (
+	"chervilreach/core/aging"
+	"chervilreach/core/stock"
+)
 
 // maxPromptParts is the maximum number of remembered prompt parts.
 const maxPromptParts = 8192
@@ -12,23 +15,20 @@
 }
 
 // promptIndex records which endpoint last processed a prompt part and probably has it in
-// its KV cache. When newer holds half of maxPromptParts, it replaces older, whose parts are
-// forgotten.
+// its KV cache.
 type promptIndex struct {
-	newer, older map[promptPartKey]string
+	instances *aging.Map[promptPartKey, string]
 }
 
 func newPromptIndex() *promptIndex {
-	return &promptIndex{newer: make(map[promptPartKey]string), older: make(map[promptPartKey]string)}
+	return &promptIndex{instances: aging.New[promptPartKey, string](maxPromptParts)}
 }
 
 // addParts notes that the parts of the prompt have been sent to an instance.
 func (p *promptIndex) addParts(r *request, instance string) {
-	if len(p.newer)+len(r.Prefix) > maxPromptParts/2 {
-		p.older, p.newer = p.newer, make(map[promptPartKey]string)
-	}
+	p.instances.Reserve(len(r.Prefix))
 	for _, part := range r.Prefix {
-		p.newer[promptPartKey{r.Item, part.ID}] = instance
+		p.instances.Put(promptPartKey{r.Item, part.ID}, instance)
 	}
 }
 
@@ -36,11 +36,7 @@
 // the number of prompt tokens that it has probably cached.
 func (p *promptIndex) cachedTokens(r *request) (instance string, tokens int) {
 	for _, part := range r.Prefix {
-		key := promptPartKey{r.Item, part.ID}
-		id, ok := p.newer[key]
-		if !ok {
-			id = p.older[key]
-		}
+		id, _ := p.instances.Get(promptPartKey{r.Item, part.ID})
 		if id == "" || tokens > 0 && id != instance {
 			return instance, tokens
 		}
