--- /dev/null
+++ b/core/poison/judge.go
@@ -0,0 +1,283 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"chervilreach/core/aging"
+)
+
+const (
+	// minCrashes is the number of crashes, one after the other, for which a part is convicted.
+	// A request that was at two endpoints when they crashed by themselves is not rare on days
+	// with many crashes.
+	minCrashes = 3
+	// crashMemory is how long a crash counts as evidence.
+	crashMemory = 2 * time.Minute
+	// relapseMemory is how long after the end of a conviction one crash is enough for the next.
+	relapseMemory = 24 * time.Hour
+	// objectionTime is how long a part is announced as a suspect before it is convicted, so
+	// that routers which know an answer to it can object.
+	objectionTime = 400 * time.Millisecond
+	// sameCrash is the largest difference between the times of one crash as seen by several
+	// routers.
+	sameCrash = 2 * time.Second
+	// maxCrashes, maxSuspects and maxVerdicts bound the memory of a judge: the number of
+	// crashes, of the suspects of one crash, and of verdicts. The oldest ones are dropped.
+	maxCrashes  = 64
+	maxSuspects = 256
+	maxVerdicts = 256
+	// maxAnnounced bounds the number of suspects that are announced.
+	maxAnnounced = 256
+)
+
+// Judge convicts the parts that crash endpoints. It is not safe for concurrent use.
+type Judge struct {
+	// crashes are the crashes within crashMemory, sorted by time and instance.
+	crashes []*crash
+	// answeredAt has the time of the last known answer by part. Crashes from before it are no
+	// evidence against the part.
+	answeredAt *aging.Map[Part, time.Time]
+	// announcedAt has the time since which each suspect is announced.
+	announcedAt map[Part]time.Time
+	verdicts    map[Part]Verdict
+}
+
+// crash is a crash with the suspects that all routers have reported.
+type crash struct {
+	instance string
+	at       time.Time
+	suspects map[Part]Suspect
+	// answering reports whether the endpoint had begun to answer any of the requests. Only
+	// the parts of such requests are suspects then, as a part crashes the endpoint that
+	// begins to answer it.
+	answering bool
+}
+
+// compare orders crashes by time and instance.
+func (c *crash) compare(o *crash) int {
+	return cmp.Or(c.at.Compare(o.at), cmp.Compare(c.instance, o.instance))
+}
+
+// NewJudge returns a judge without evidence.
+func NewJudge() *Judge {
+	return &Judge{
+		answeredAt: aging.New[Part, time.Time](maxAnswered), announcedAt: make(map[Part]time.Time), verdicts: make(map[Part]Verdict),
+	}
+}
+
+// AddCrash adds a router's report of a crash to the evidence.
+func (j *Judge) AddCrash(c Crash) {
+	known := j.crashOf(c)
+	for _, s := range c.Suspects {
+		old, ok := known.suspects[s.Part]
+		if !ok && len(known.suspects) >= maxSuspects {
+			continue
+		}
+		s.Answering, s.Depth = s.Answering || old.Answering, max(s.Depth, old.Depth)
+		if old.SentAt.After(s.SentAt) {
+			s.SentAt = old.SentAt
+		}
+		known.suspects[s.Part] = s
+		known.answering = known.answering || s.Answering
+	}
+}
+
+// crashOf returns the crash that a router has reported, adding it if it is new.
+func (j *Judge) crashOf(c Crash) *crash {
+	for _, known := range j.crashes {
+		if known.instance == c.Instance && known.at.Sub(c.At).Abs() <= sameCrash {
+			if c.At.Before(known.at) {
+				known.at = c.At
+				slices.SortFunc(j.crashes, (*crash).compare)
+			}
+			return known
+		}
+	}
+	if len(j.crashes) >= maxCrashes {
+		j.crashes = slices.Delete(j.crashes, 0, 1)
+	}
+	added := &crash{instance: c.Instance, at: c.At, suspects: make(map[Part]Suspect)}
+	i, _ := slices.BinarySearchFunc(j.crashes, added, (*crash).compare)
+	j.crashes = slices.Insert(j.crashes, i, added)
+	return added
+}
+
+// Clear drops the evidence against parts whose requests an endpoint has answered, and lifts
+// their convictions.
+func (j *Judge) Clear(now time.Time, parts []Part) {
+	for _, p := range parts {
+		j.answeredAt.Put(p, now)
+		delete(j.announcedAt, p)
+		if v, ok := j.verdicts[p]; ok && !v.Lifted {
+			j.verdicts[p] = Verdict{Part: p, DecidedAt: now, Lifted: true}
+		}
+	}
+}
+
+// AddVerdict adopts a verdict of another judge.
+func (j *Judge) AddVerdict(v Verdict) {
+	if old, ok := j.verdicts[v.Part]; !ok || v.Supersedes(old) {
+		j.setVerdict(v)
+	}
+}
+
+func (j *Judge) setVerdict(v Verdict) {
+	if _, ok := j.verdicts[v.Part]; !ok && len(j.verdicts) >= maxVerdicts {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(j.verdicts)), func(a, b Verdict) int {
+			return cmp.Or(a.DecidedAt.Compare(b.DecidedAt), cmp.Compare(a.Part, b.Part))
+		})
+		delete(j.verdicts, oldest.Part)
+	}
+	j.verdicts[v.Part] = v
+}
+
+// Decide forgets old evidence, announces the suspects and convicts those to which no router
+// has objected. It returns the new convictions, and the time at which it must be called again;
+// zero if there is none.
+func (j *Judge) Decide(now time.Time) (convicted []Verdict, next time.Time) {
+	j.crashes = slices.DeleteFunc(j.crashes, func(c *crash) bool { return now.After(c.at.Add(crashMemory)) })
+	maps.DeleteFunc(j.verdicts, func(_ Part, v Verdict) bool {
+		if v.Lifted {
+			return now.After(v.ExpiresAt())
+		}
+		return now.After(v.ExpiresAt().Add(relapseMemory))
+	})
+	j.announce(now)
+	for {
+		p, at := j.nextConviction(now)
+		if at.IsZero() || now.Before(at) {
+			return convicted, at
+		}
+		v := Verdict{Part: p, DecidedAt: now, CrashCount: j.crashCounts(now)[p]}
+		j.setVerdict(v)
+		convicted = append(convicted, v)
+	}
+}
+
+// nextConviction returns the part that is to be convicted next, and the earliest time of that;
+// zero if there is none. If several parts were in the same crashes, the one that is deepest in
+// its prompts comes first: it has fewer prompts than the parts before it, and if one of these is the
+// cause, crashes go on without the convicted part.
+func (j *Judge) nextConviction(now time.Time) (Part, time.Time) {
+	counts := j.crashCounts(now)
+	var candidates []Part
+	for p, n := range counts {
+		if !j.verdicts[p].InForce(now) && n >= j.crashesNeeded(p) {
+			candidates = append(candidates, p)
+		}
+	}
+	if len(candidates) == 0 {
+		return 0, time.Time{}
+	}
+	p := slices.MinFunc(candidates, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(j.depth(b), j.depth(a)), cmp.Compare(a, b))
+	})
+	since, ok := j.announcedAt[p]
+	if !ok {
+		return 0, time.Time{}
+	}
+	return p, since.Add(objectionTime)
+}
+
+// depth returns the depth of a suspect in its prompts.
+func (j *Judge) depth(p Part) int {
+	depth := 0
+	for _, c := range j.crashes {
+		if s, ok := c.suspects[p]; ok {
+			depth = max(depth, s.Depth)
+		}
+	}
+	return depth
+}
+
+// crashesNeeded returns the number of crashes for which a part is convicted.
+func (j *Judge) crashesNeeded(p Part) int {
+	if v, ok := j.verdicts[p]; ok && !v.Lifted {
+		return 1
+	}
+	return minCrashes
+}
+
+// crashCounts returns for each suspect the number of its crashes one after the other: a crash
+// counts only if a request with the part was sent after the one before. Endpoints that go down
+// together count as one crash, and crashes of a convicted part do not count for others.
+func (j *Judge) crashCounts(now time.Time) map[Part]int {
+	counts := make(map[Part]int)
+	lastAt := make(map[Part]time.Time)
+	for _, c := range j.crashes {
+		if j.isExplained(c, now) {
+			continue
+		}
+		for p, s := range c.suspects {
+			if c.answering && !s.Answering || counts[p] > 0 && !s.SentAt.After(lastAt[p]) || j.isUsedUp(p, c.at) {
+				continue
+			}
+			counts[p]++
+			lastAt[p] = c.at
+		}
+	}
+	return counts
+}
+
+// isExplained reports whether a convicted part was in the crash.
+func (j *Judge) isExplained(c *crash, now time.Time) bool {
+	for p, s := range c.suspects {
+		if j.verdicts[p].InForce(now) && (s.Answering || !c.answering) {
+			return true
+		}
+	}
+	return false
+}
+
+// isUsedUp reports whether a crash at the given time is no evidence against the part any more,
+// because the part has been answered or there has been a verdict on it since.
+func (j *Judge) isUsedUp(p Part, at time.Time) bool {
+	if answeredAt, ok := j.answeredAt.Get(p); ok && !answeredAt.Before(at) {
+		return true
+	}
+	v, ok := j.verdicts[p]
+	return ok && v.DecidedAt.After(at)
+}
+
+// announce updates the announced suspects: those that one more crash would convict, or that are
+// to be convicted.
+func (j *Judge) announce(now time.Time) {
+	counts := j.crashCounts(now)
+	maps.DeleteFunc(counts, func(p Part, n int) bool { return n < max(j.crashesNeeded(p)-1, 1) })
+	maps.DeleteFunc(j.announcedAt, func(p Part, _ time.Time) bool { return counts[p] == 0 })
+	parts := slices.SortedFunc(maps.Keys(counts), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	for _, p := range parts {
+		if _, ok := j.announcedAt[p]; !ok && len(j.announcedAt) < maxAnnounced {
+			j.announcedAt[p] = now
+		}
+	}
+}
+
+// Suspects returns the announced suspects without those that are convicted, sorted.
+func (j *Judge) Suspects(now time.Time) []Part {
+	var list []Part
+	for p := range j.announcedAt {
+		if !j.verdicts[p].InForce(now) {
+			list = append(list, p)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Verdicts returns the verdicts that have not expired, sorted by part.
+func (j *Judge) Verdicts(now time.Time) []Verdict {
+	var list []Verdict
+	for _, v := range j.verdicts {
+		if now.Before(v.ExpiresAt()) {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b Verdict) int { return cmp.Compare(a.Part, b.Part) })
+	return list
+}
--- /dev/null
+++ b/core/poison/poison.go
@@ -0,0 +1,103 @@
+// Package poison finds the prompt parts that crash the endpoints which process them, and keeps
+// the verdicts on them.
+//
+// Routers report the crashes of endpoints with the parts of the requests that were there and
+// had no answer. A Judge, which runs in an agent, combines these reports: it convicts a part
+// that was there in several crashes one after the other and was never answered anywhere.
+// Routers refuse requests with a convicted part.
+//
+// Terms of this package:
+//   - A part is a section of a prompt that the prompts of other requests may contain too,
+//     identified by the hash of its ID.
+//   - A suspect is a part that was in an unanswered request at an endpoint when it crashed.
+//   - A verdict convicts a part, or lifts an earlier conviction.
+package poison
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// verdictDuration is how long a part stays convicted. Requests that are sent after that
+	// show whether it still crashes endpoints.
+	verdictDuration = time.Hour
+	// liftedDuration is how long a lifted verdict is remembered, so that processes which still
+	// have the conviction don't bring it back.
+	liftedDuration = 10 * time.Minute
+)
+
+// Part identifies a part of a prompt.
+type Part uint64
+
+// PartOf returns the part with the given ID in the prompts of a service. IDs are chosen by callers,
+// so that they may be long.
+func PartOf(service, id string) Part { return Part(xxhash.Sum64String(service + "\x00" + id)) }
+
+// String returns the part as 16 hexadecimal digits.
+func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
+// Suspect is a part in an unanswered request at an endpoint that crashed.
+type Suspect struct {
+	Part Part
+	// SentAt is the time at which the request was sent to the endpoint. If several requests had
+	// the part, it is that of the last one.
+	SentAt time.Time
+	// Depth is the number of parts before it in the prompt.
+	Depth int
+	// Answering reports whether the endpoint had begun to answer the request.
+	Answering bool
+}
+
+// Crash is the crash of an endpoint as one router knows it.
+type Crash struct {
+	// Instance is the endpoint's instance, which ended with the crash.
+	Instance string
+	At       time.Time
+	Suspects []Suspect
+}
+
+// Verdict convicts a part or lifts its conviction.
+type Verdict struct {
+	Part Part
+	// DecidedAt is the time of the decision. The latest verdict on a part counts.
+	DecidedAt time.Time
+	// CrashCount is the number of crashes on which a conviction is based.
+	CrashCount int
+	// Lifted reports whether the part is acquitted.
+	Lifted bool
+}
+
+// ExpiresAt returns the end of a conviction, or the time until which a lifted verdict is
+// remembered.
+func (v Verdict) ExpiresAt() time.Time {
+	if v.Lifted {
+		return v.DecidedAt.Add(liftedDuration)
+	}
+	return v.DecidedAt.Add(verdictDuration)
+}
+
+// InForce reports whether requests with the part must be refused.
+func (v Verdict) InForce(now time.Time) bool {
+	return !v.DecidedAt.IsZero() && !v.Lifted && now.Before(v.ExpiresAt())
+}
+
+// sameDecision is the largest difference between the times of one decision as known to several
+// processes, which learn it as an age.
+const sameDecision = time.Second
+
+// Supersedes reports whether v replaces old as the verdict on the same part: the later one does, and
+// a lifted one if the other is about as late.
+func (v Verdict) Supersedes(old Verdict) bool {
+	if v.Lifted && !old.Lifted {
+		return v.DecidedAt.After(old.DecidedAt.Add(-sameDecision))
+	}
+	return v.DecidedAt.After(old.DecidedAt.Add(sameDecision))
+}
+
+// Equal reports whether v and o are the same decision.
+func (v Verdict) Equal(o Verdict) bool {
+	return v.Part == o.Part && v.Lifted == o.Lifted && v.DecidedAt.Sub(o.DecidedAt).Abs() <= sameDecision
+}
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"chervilreach/core/poison"
 	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 )
@@ -108,6 +109,8 @@
 	RateLimited Reason = "rate-limited"
 	// Stopping means that the router is shutting down.
 	Stopping Reason = "stopping"
+	// PromptCrashes means that a part of the prompt crashes endpoints.
+	PromptCrashes Reason = "prompt-crashes-endpoints"
 )
 
 // Refuse rejects a request that has not run and will not run.
@@ -230,3 +233,68 @@
 
 // Kind implements event.Effect.
 func (LimitChanged) Kind() string { return "relay-limit-changed" }
+
+// ReportCrashes tells an agent what the router knows of recent crashes of endpoints.
+type ReportCrashes struct {
+	// Judge is the endpoint whose agent is told.
+	Judge   string
+	Crashes []poison.Crash
+}
+
+// Kind implements event.Effect.
+func (ReportCrashes) Kind() string { return "relay-report-crashes" }
+
+// ReportAnswered tells an agent that endpoints have answered requests with these prompt parts.
+type ReportAnswered struct {
+	// Judge is the endpoint whose agent is told.
+	Judge string
+	Parts []poison.Part
+}
+
+// Kind implements event.Effect.
+func (ReportAnswered) Kind() string { return "relay-report-answered" }
+
+// ReportVerdicts tells an agent verdicts on prompt parts.
+type ReportVerdicts struct {
+	// Agent is the endpoint whose agent is told.
+	Agent    string
+	Verdicts []poison.Verdict
+}
+
+// Kind implements event.Effect.
+func (ReportVerdicts) Kind() string { return "relay-report-verdicts" }
+
+// EndpointCrashed reports the crash of an endpoint, for the log.
+type EndpointCrashed struct {
+	Endpoint string
+	// Lost is the number of this router's attempts that the crash ended before they were answered.
+	Lost     int
+	Suspects []poison.Suspect
+}
+
+// Kind implements event.Effect.
+func (EndpointCrashed) Kind() string { return "relay-crashed" }
+
+// VerdictChanged reports a new verdict on a prompt part, for the log.
+type VerdictChanged struct {
+	Verdict poison.Verdict
+	// Source is the endpoint whose agent told it.
+	Source string
+}
+
+// Kind implements event.Effect.
+func (VerdictChanged) Kind() string { return "relay-verdict" }
+
+// PartRefused reports that a request is refused for a convicted part of its prompt, for the log.
+type PartRefused struct {
+	ID RequestID
+	// PartID is the ID of the part in the request.
+	PartID  string
+	Verdict poison.Verdict
+}
+
+// Kind implements event.Effect.
+func (PartRefused) Kind() string { return "relay-part-refused" }
+
+// Routine implements event.Routine.
+func (PartRefused) Routine() {}
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -8,6 +8,9 @@
 		return
 	}
 	e := r.target
+	if ev.Result == Broken {
+		s.noteLostAttempt(r, e, ev)
+	}
 	s.detach(r)
 	r.partlyAnswered = r.partlyAnswered || ev.Answering
 	r.LastEvent = max(r.LastEvent, ev.LastEvent)
@@ -18,6 +21,9 @@
 	switch ev.Result {
 	case Done, Abandoned:
 		e.recordOutcome(false, s.now)
+		if ev.Result == Done {
+			s.noteAnswered(r)
+		}
 		s.drop(r)
 	case Expired:
 		if !ev.Unsent {
@@ -27,6 +33,9 @@
 	case Unsent:
 		e.recordOutcome(true, s.now)
 		e.ejectedUntil = s.now.Add(unreachableDuration)
+		if ev.Refused && !e.Leaving {
+			s.reportCrash(e)
+		}
 		s.retryOrRefuse(r, e)
 	case Replaced:
 		e.Leaving = true
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -82,6 +82,12 @@
 	// askAgainAt is the time until which the endpoint's agent is not asked for permits, as it
 	// did not answer.
 	askAgainAt time.Time
+	// lostAttempts are the attempts that the endpoint's crash may have ended.
+	lostAttempts []lostAttempt
+	// objectedAt is the time at which the agent was last told of answered prompt parts.
+	objectedAt time.Time
+	// toldVerdictsAt is the time at which the agent was last told verdicts on prompt parts.
+	toldVerdictsAt time.Time
 }
 
 func newEndpoint(m EndpointEntry, now time.Time) *endpoint {
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -172,6 +172,11 @@
 	Answering bool
 	// Unsent reports whether an attempt with the result Expired had sent nothing.
 	Unsent bool
+	// Refused reports whether the endpoint's host refused the connection of an attempt with the
+	// result Unsent.
+	Refused bool
+	// Cut reports whether the endpoint closed the connection of an attempt with the result Broken.
+	Cut bool
 	// HeadReceived reports whether the head of an answer to the attempt has been received.
 	HeadReceived bool
 }
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -58,14 +58,21 @@
 // abortAttempts aborts all attempts at an endpoint that has been replaced. They will get no
 // answers, and the connection to a dead host does not end by itself.
 func (s *State) abortAttempts(e *endpoint) {
-	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
-		if r := s.requests[id]; r.target == e {
+	for _, r := range s.sortedRequests() {
+		if r.target == e {
 			s.emitCount("attempts.broken-off")
-			s.emit(AbortAttempt{ID: id, Try: r.attemptCount})
+			s.emit(AbortAttempt{ID: r.id, Try: r.attemptCount})
 		}
 	}
 }
 
+// sortedRequests returns the requests in progress, sorted by ID.
+func (s *State) sortedRequests() []*request {
+	list := slices.Collect(maps.Values(s.requests))
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
 // updateEntry applies the list entry m to the endpoint e, or creates the endpoint if e is nil.
 // If the entry is for another incarnation than e, the endpoint is created anew. It returns
 // the endpoint.
@@ -76,6 +83,7 @@
 		s.index.drop(e)
 	}
 	if e != nil && e.isNewIncarnation(m) {
+		s.reportCrash(e)
 		s.abortAttempts(e)
 		s.dropLimit(e)
 		e = nil
@@ -115,8 +123,16 @@
 	e.hasSparseReports = s.followsSubset()
 	s.retryBudget.routerCount = s.estimateRouters(s.mostRoutersReported())
 	s.adoptLimits(ev.Report)
+	if ev.Report.Down && !e.Leaving {
+		s.reportCrash(e)
+	}
+	s.applyVerdicts(e, ev.Report)
+	s.spreadVerdicts(e)
 	s.unassignLoadsIfLeaving(e)
 	s.dispatchWaitingFor(e)
+	if first && len(s.poison.crashes) > 0 && slices.Contains(s.judges(e.Service), e) {
+		s.informJudge(e)
+	}
 	if first && s.followsSubset() {
 		s.dispatchWaiting()
 	}
@@ -142,6 +158,9 @@
 	}
 	s.index.drop(e)
 	s.dropLimit(e)
+	if !e.Leaving {
+		s.reportCrash(e)
+	}
 	e.Leaving = true
 	s.unassignLoads(e.Instance)
 	s.abortAttempts(e)
--- /dev/null
+++ b/core/relay/poison.go
@@ -0,0 +1,303 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilreach/core/poison"
+	"chervilreach/core/stock"
+)
+
+const (
+	// judgeCount is the number of agents that judge the prompt parts of a service.
+	judgeCount = 3
+	// crashConfirmTime is how long after the end of an attempt its endpoint may be found to have
+	// crashed, for the attempt to count as ended by the crash.
+	crashConfirmTime = 5 * time.Second
+	// answerSettleTime is how long an answer must have gone on before a crash for the endpoint not
+	// to have crashed from it.
+	answerSettleTime = 200 * time.Millisecond
+	// verdictInterval is the shortest time between two reports of verdicts to one agent.
+	verdictInterval = 200 * time.Millisecond
+	// crashResendTime is how long a crash is reported to agents that become judges.
+	crashResendTime = time.Minute
+	// objectionInterval is the shortest time between two reports of answered parts to one agent.
+	objectionInterval = 500 * time.Millisecond
+	// maxLostAttempts and maxRecentCrashes bound the memory for crashes: the number of lost attempts
+	// at one endpoint, and of crashes.
+	maxLostAttempts  = 128
+	maxRecentCrashes = 16
+)
+
+// lostAttempt is an attempt whose connection the endpoint closed before it had answered.
+type lostAttempt struct {
+	sentAt, lostAt time.Time
+	// suspects are the suspects in the request, without SentAt and Answering.
+	suspects []poison.Suspect
+	// answering reports whether the endpoint had begun to answer.
+	answering bool
+}
+
+// recentCrash is a crash that was reported to the judges of a service.
+type recentCrash struct {
+	service string
+	crash   poison.Crash
+}
+
+// poisonState is what the router knows of prompt parts that crash endpoints.
+type poisonState struct {
+	answered *poison.Answered
+	verdicts map[poison.Part]poison.Verdict
+	crashes  []recentCrash
+}
+
+func newPoisonState() poisonState {
+	return poisonState{answered: poison.NewAnswered(), verdicts: make(map[poison.Part]poison.Verdict)}
+}
+
+// sharedParts returns the parts of the request's prompt that other prompts may contain: all but
+// the last.
+func (r *request) sharedParts() []PromptPart {
+	if len(r.Prefix) < 2 {
+		return nil
+	}
+	return r.Prefix[:len(r.Prefix)-1]
+}
+
+// convictedPart returns the verdict on a part of the request's prompt for which the request must be
+// refused, and the part.
+func (s *State) convictedPart(r *request) (PromptPart, poison.Verdict, bool) {
+	if len(s.poison.verdicts) == 0 {
+		return PromptPart{}, poison.Verdict{}, false
+	}
+	for _, p := range r.sharedParts() {
+		if v := s.poison.verdicts[poison.PartOf(r.Service, p.ID)]; v.InForce(s.now) {
+			return p, v, true
+		}
+	}
+	return PromptPart{}, poison.Verdict{}, false
+}
+
+// refuseIfConvicted answers the request if its prompt has a convicted part.
+func (s *State) refuseIfConvicted(r *request) bool {
+	part, v, ok := s.convictedPart(r)
+	if !ok {
+		return false
+	}
+	s.emitCount("parts.refused")
+	s.emit(PartRefused{ID: r.id, PartID: part.ID, Verdict: v})
+	s.refuseOrFail(r, PromptCrashes, v.ExpiresAt())
+	return true
+}
+
+// noteAnswered notes that the request's prompt does not crash endpoints.
+func (s *State) noteAnswered(r *request) {
+	for _, p := range r.sharedParts() {
+		s.poison.answered.Add(s.now, poison.PartOf(r.Service, p.ID))
+	}
+}
+
+// noteLostAttempt notes an attempt whose connection the endpoint has closed, in case the endpoint
+// has crashed.
+func (s *State) noteLostAttempt(r *request, e *endpoint, ev AttemptEnded) {
+	if !ev.Cut || e.Leaving || r.answerBegan && !s.now.Before(r.answerBeganAt.Add(answerSettleTime)) {
+		return
+	}
+	var suspects []poison.Suspect
+	for depth, p := range r.sharedParts() {
+		if part := poison.PartOf(r.Service, p.ID); !s.poison.answered.Recently(s.now, part) {
+			suspects = append(suspects, poison.Suspect{Part: part, Depth: depth})
+		}
+	}
+	if len(e.lostAttempts) >= maxLostAttempts {
+		e.lostAttempts = e.lostAttempts[1:]
+	}
+	e.lostAttempts = append(e.lostAttempts, lostAttempt{
+		sentAt: r.sentAt, lostAt: s.now, suspects: suspects, answering: ev.HeadReceived,
+	})
+	if e.Stock.Down {
+		s.reportCrash(e)
+	}
+}
+
+// reportCrash reports the crash of an endpoint to the judges, with the parts of the requests that
+// were lost in it. It does nothing if the router has lost none.
+func (s *State) reportCrash(e *endpoint) {
+	since := s.now.Add(-crashConfirmTime)
+	lost := slices.DeleteFunc(e.lostAttempts, func(a lostAttempt) bool { return a.lostAt.Before(since) })
+	e.lostAttempts = nil
+	if len(lost) == 0 {
+		return
+	}
+	c := poison.Crash{Instance: e.Instance, At: lost[0].lostAt, Suspects: suspectsOf(lost)}
+	s.emitCount("crashes")
+	s.emit(EndpointCrashed{Endpoint: e.Instance, Lost: len(lost), Suspects: c.Suspects})
+	if len(c.Suspects) == 0 {
+		return
+	}
+	if len(s.poison.crashes) >= maxRecentCrashes {
+		s.poison.crashes = s.poison.crashes[1:]
+	}
+	s.poison.crashes = append(s.poison.crashes, recentCrash{e.Service, c})
+	for _, judge := range s.judges(e.Service) {
+		if judge.hasAgent {
+			s.informJudge(judge)
+		}
+	}
+	s.followUpdatePending = s.followUpdatePending || s.followsSubset()
+}
+
+// suspectsOf merges the suspects of lost attempts, sorted by part.
+func suspectsOf(lost []lostAttempt) []poison.Suspect {
+	merged := make(map[poison.Part]poison.Suspect)
+	for _, a := range lost {
+		for _, suspect := range a.suspects {
+			old := merged[suspect.Part]
+			suspect.SentAt, suspect.Answering = laterTime(a.sentAt, old.SentAt), a.answering || old.Answering
+			suspect.Depth = max(suspect.Depth, old.Depth)
+			merged[suspect.Part] = suspect
+		}
+	}
+	list := make([]poison.Suspect, 0, len(merged))
+	for _, suspect := range merged {
+		list = append(list, suspect)
+	}
+	slices.SortFunc(list, func(a, b poison.Suspect) int { return cmp.Compare(a.Part, b.Part) })
+	return list
+}
+
+// judges returns the endpoints whose agents judge the prompt parts of a service, the same at all
+// routers. The choice depends on addresses, as an endpoint that restarts has another instance
+// name.
+func (s *State) judges(service string) []*endpoint {
+	type ranked struct {
+		hash uint64
+		e    *endpoint
+	}
+	var best []ranked
+	for _, e := range s.index.endpointsByService[service] {
+		if !e.HasModels || e.Leaving {
+			continue
+		}
+		r := ranked{xxhash.Sum64String(e.Address.String()), e}
+		i, _ := slices.BinarySearchFunc(best, r.hash, func(b ranked, hash uint64) int { return cmp.Compare(b.hash, hash) })
+		if i < judgeCount {
+			best = slices.Insert(best, i, r)[:min(len(best)+1, judgeCount)]
+		}
+	}
+	list := make([]*endpoint, 0, len(best))
+	for _, r := range best {
+		list = append(list, r.e)
+	}
+	return list
+}
+
+// judgeCandidates returns the endpoints to follow because their agents judge prompt parts. None
+// are followed if the router has no recent crashes to report.
+func (s *State) judgeCandidates() []followCandidate {
+	if len(s.recentCrashes()) == 0 {
+		return nil
+	}
+	var candidates []followCandidate
+	for _, service := range slices.Sorted(maps.Keys(s.index.rings)) {
+		for _, e := range s.judges(service) {
+			candidates = append(candidates, followCandidate{e, alwaysFollowedWeight})
+		}
+	}
+	return candidates
+}
+
+// informJudge reports the recent crashes to an agent. Those that it knows are reported again, as the
+// agents that judge change when their endpoints crash.
+func (s *State) informJudge(judge *endpoint) {
+	var list []poison.Crash
+	for _, c := range s.recentCrashes() {
+		if c.service == judge.Service {
+			list = append(list, c.crash)
+		}
+	}
+	if len(list) > 0 {
+		s.emit(ReportCrashes{Judge: judge.Instance, Crashes: list})
+	}
+}
+
+// recentCrashes forgets crashes from before crashResendTime and returns the others.
+func (s *State) recentCrashes() []recentCrash {
+	since := s.now.Add(-crashResendTime)
+	s.poison.crashes = slices.DeleteFunc(s.poison.crashes, func(c recentCrash) bool { return c.crash.At.Before(since) })
+	return s.poison.crashes
+}
+
+// spreadVerdicts tells an agent the verdicts that its last report lacks. Agents tell them to the
+// other routers that follow them.
+func (s *State) spreadVerdicts(e *endpoint) {
+	if len(s.poison.verdicts) == 0 || s.now.Before(e.toldVerdictsAt.Add(verdictInterval)) {
+		return
+	}
+	var lacking []poison.Verdict
+	for _, part := range slices.Sorted(maps.Keys(s.poison.verdicts)) {
+		v := s.poison.verdicts[part]
+		if !s.now.Before(v.ExpiresAt()) {
+			delete(s.poison.verdicts, part)
+			continue
+		}
+		if !slices.ContainsFunc(e.Stock.Verdicts, func(known poison.Verdict) bool { return known.Part == part && !v.Supersedes(known) }) {
+			lacking = append(lacking, v)
+		}
+	}
+	if len(lacking) > 0 {
+		e.toldVerdictsAt = s.now
+		s.emit(ReportVerdicts{Agent: e.Instance, Verdicts: lacking})
+	}
+}
+
+// applyVerdicts adopts the verdicts in the report of an agent, tells it those that it lacks, and
+// objects to verdicts on parts, and to suspects, that endpoints have answered.
+func (s *State) applyVerdicts(e *endpoint, r stock.Report) {
+	var answered []poison.Part
+	for _, p := range r.Suspects {
+		if s.poison.answered.Recently(s.now, p) {
+			answered = append(answered, p)
+		}
+	}
+	changed := false
+	for _, v := range r.Verdicts {
+		if v.InForce(s.now) && s.poison.answered.Recently(s.now, v.Part) {
+			answered = append(answered, v.Part)
+			continue
+		}
+		if old, ok := s.poison.verdicts[v.Part]; ok && !v.Supersedes(old) {
+			continue
+		}
+		s.poison.verdicts[v.Part], changed = v, true
+		s.emit(VerdictChanged{Verdict: v, Source: e.Instance})
+	}
+	if len(answered) > 0 && !s.now.Before(e.objectedAt.Add(objectionInterval)) {
+		e.objectedAt = s.now
+		s.emit(ReportAnswered{Judge: e.Instance, Parts: answered})
+	}
+	if !changed {
+		return
+	}
+	for _, other := range s.endpoints {
+		if other.hasAgent {
+			s.spreadVerdicts(other)
+		}
+	}
+	s.abortConvicted()
+	s.dispatchWaiting()
+}
+
+// abortConvicted aborts the attempts of requests with convicted parts that have no answer yet.
+func (s *State) abortConvicted() {
+	for _, r := range s.sortedRequests() {
+		if _, _, convicted := s.convictedPart(r); convicted && r.target != nil && !r.answerBegan {
+			s.emitCount("attempts.broken-off")
+			s.emit(AbortAttempt{ID: r.id, Try: r.attemptCount})
+		}
+	}
+}
--- /dev/null
+++ b/core/relay/poison_test.go
@@ -0,0 +1,261 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/core/poison"
+	"chervilreach/core/stock"
+)
+
+// promptOf returns the parts of a prompt with the given IDs.
+func promptOf(ids ...string) []PromptPart {
+	return lo.Map(ids, func(id string, _ int) PromptPart { return PromptPart{ID: id, Tokens: 100} })
+}
+
+// arriveWithPrompt applies the arrival of a request for model a whose prompt has the given parts.
+func (router *testRouter) arriveWithPrompt(ids ...string) RequestID {
+	router.lastID++
+	rt := streamRoute()
+	router.apply(RequestArrived{ID: router.lastID, Request: Request{
+		AttemptID: "x", Route: rt, Service: llm, Item: modelA, TokensIn: 300, TokensOut: 100,
+		Prefix: promptOf(ids...), Deadline: router.now.Add(rt.Timeout), LastEvent: NoEvent,
+	}})
+	return router.lastID
+}
+
+// loseAttempt ends the attempt of a request because its endpoint closes the connection.
+func (router *testRouter) loseAttempt(id RequestID) {
+	router.apply(AttemptEnded{ID: id, Result: Broken, LastEvent: NoEvent, Cut: true})
+}
+
+func (router *testRouter) reportDown(instance string) {
+	router.report(instance, func(r *stock.Report) { r.Down = true })
+}
+
+func (router *testRouter) reportVerdicts(instance string, verdicts ...poison.Verdict) {
+	router.report(instance, func(r *stock.Report) {
+		withModels("a")(r)
+		r.Verdicts = verdicts
+	})
+}
+
+// newPromptRouter returns a router with three endpoints that hold model a.
+func newPromptRouter(t *testing.T) *testRouter {
+	t.Helper()
+	entries := []EndpointEntry{testEntry("e1", llm), testEntry("e2", llm), testEntry("e3", llm)}
+	router := newTestRouter(t, entries...)
+	for _, e := range entries {
+		router.report(e.Instance, withModels("a"))
+	}
+	return router
+}
+
+func TestLostAttemptsOfACrashAreReportedToJudges(t *testing.T) {
+	router := newPromptRouter(t)
+	id := router.arriveWithPrompt("shared", "deadly", "own")
+	send := onlyEffect[Send](router)
+	router.loseAttempt(id)
+	assert.Empty(t, effectsOf[ReportCrashes](router), "the connection may have been cut")
+	lostAt := router.now
+	router.now = router.now.Add(100 * time.Millisecond)
+	router.reportDown(send.Instance)
+	reports := effectsOf[ReportCrashes](router)
+	require.Len(t, reports, judgeCount)
+	require.Len(t, reports[0].Crashes, 1)
+	crash := reports[0].Crashes[0]
+	assert.Equal(t, send.Instance, crash.Instance)
+	assert.Equal(t, lostAt, crash.At)
+	assert.ElementsMatch(t, []poison.Part{poison.PartOf(llm, "shared"), poison.PartOf(llm, "deadly")},
+		lo.Map(crash.Suspects, func(s poison.Suspect, _ int) poison.Part { return s.Part }), "not the last part")
+}
+
+func TestNoCrashIsReported(t *testing.T) {
+	for name, lose := range map[string]func(router *testRouter, id RequestID, instance string){
+		"connection cut, endpoint up": func(router *testRouter, id RequestID, instance string) {
+			router.loseAttempt(id)
+			router.report(instance, withModels("a"))
+		},
+		"silent endpoint": func(router *testRouter, id RequestID, instance string) {
+			router.endAttempt(id, Broken)
+			router.reportDown(instance)
+		},
+		"crash long after": func(router *testRouter, id RequestID, instance string) {
+			router.loseAttempt(id)
+			router.now = router.now.Add(crashConfirmTime + time.Millisecond)
+			router.reportDown(instance)
+		},
+		"leaving endpoint": func(router *testRouter, id RequestID, instance string) {
+			router.listEndpoints(lo.Map(router.list, func(e EndpointEntry, _ int) EndpointEntry {
+				e.Leaving = e.Instance == instance
+				return e
+			})...)
+			router.loseAttempt(id)
+			router.reportDown(instance)
+		},
+		"answer that has gone on": func(router *testRouter, id RequestID, instance string) {
+			router.apply(AnswerStarted{ID: id})
+			router.now = router.now.Add(answerSettleTime)
+			router.loseAttempt(id)
+			router.reportDown(instance)
+		},
+		"parts that were answered": func(router *testRouter, id RequestID, instance string) {
+			other := router.arriveWithPrompt("shared", "deadly", "other")
+			router.endAttempt(other, Done)
+			router.loseAttempt(id)
+			router.reportDown(instance)
+		},
+		"prompt without shared parts": func(router *testRouter, id RequestID, instance string) {
+			router.endAttempt(id, Done)
+			for range 9 {
+				router.now = router.now.Add(time.Second)
+				own := router.arriveWithPrompt("own")
+				if onlyEffect[Send](router).Instance == instance {
+					router.loseAttempt(own)
+					router.reportDown(instance)
+					return
+				}
+				router.endAttempt(own, Done)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := newPromptRouter(t)
+			id := router.arriveWithPrompt("shared", "deadly", "own")
+			lose(router, id, onlyEffect[Send](router).Instance)
+			assert.Empty(t, effectsOf[ReportCrashes](router))
+		})
+	}
+}
+
+func TestCrashIsFoundWithoutTheAgent(t *testing.T) {
+	for name, find := range map[string]func(router *testRouter, instance string){
+		"connection refused": func(router *testRouter, _ string) {
+			id := router.arriveWithPrompt("shared", "else", "own-2")
+			router.apply(AttemptEnded{ID: id, Result: Unsent, LastEvent: NoEvent, Refused: true})
+		},
+		"new incarnation listed": func(router *testRouter, _ string) {
+			router.listEndpoints(lo.Map(router.list, func(e EndpointEntry, _ int) EndpointEntry {
+				e.Born = 2
+				return e
+			})...)
+		},
+		"new instance reported": func(router *testRouter, instance string) {
+			router.apply(InstanceChanged{From: instance, Report: stock.Report{Instance: "e9"}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			entry := testEntry("e1", llm)
+			entry.Born = 1
+			router := newTestRouter(t, entry)
+			router.report("e1", withModels("a"))
+			id := router.arriveWithPrompt("shared", "deadly", "own")
+			router.loseAttempt(id)
+			find(router, "e1")
+			assert.Len(t, effectsOf[EndpointCrashed](router), 1)
+		})
+	}
+}
+
+func TestRequestWithConvictedPartIsRefusedAtOnce(t *testing.T) {
+	router := newPromptRouter(t)
+	v := poison.Verdict{Part: poison.PartOf(llm, "deadly"), DecidedAt: router.now, CrashCount: 3}
+	router.reportVerdicts("e1", v)
+	for name, c := range map[string]struct {
+		prompt  []string
+		refused bool
+	}{
+		"convicted part":     {[]string{"shared", "deadly", "own"}, true},
+		"first part":         {[]string{"deadly", "own"}, true},
+		"last part":          {[]string{"shared", "deadly"}, false},
+		"other part":         {[]string{"shared", "sound", "own"}, false},
+		"no parts":           {nil, false},
+		"part of other case": {[]string{"shared", "Deadly", "own"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			id := router.arriveWithPrompt(c.prompt...)
+			if !c.refused {
+				onlyEffect[Send](router)
+				router.endAttempt(id, Done)
+				return
+			}
+			assert.Empty(t, effectsOf[Send](router))
+			refusal := onlyEffect[Refuse](router)
+			assert.Equal(t, PromptCrashes, refusal.Reason)
+			assert.Equal(t, v.ExpiresAt(), refusal.RetryAt)
+			assert.Empty(t, router.state.requests)
+		})
+	}
+}
+
+func TestConvictionEndsRequestsInProgress(t *testing.T) {
+	router := newPromptRouter(t)
+	atEndpoint := router.arriveWithPrompt("shared", "deadly", "own-1")
+	answered := router.arriveWithPrompt("shared", "deadly", "own-2")
+	router.apply(AnswerStarted{ID: answered})
+	router.reportVerdicts("e1", poison.Verdict{Part: poison.PartOf(llm, "deadly"), DecidedAt: router.now, CrashCount: 3})
+	assert.Equal(t, atEndpoint, onlyEffect[AbortAttempt](router).ID, "not the one that is being answered")
+	router.endAttempt(atEndpoint, Broken)
+	assert.Equal(t, Fail{ID: atEndpoint, Reason: PromptCrashes}, onlyEffect[Fail](router), "it may have run")
+}
+
+func TestRefusedPartsAreNoTraffic(t *testing.T) {
+	router := newPromptRouter(t)
+	router.reportVerdicts("e1", poison.Verdict{Part: poison.PartOf(llm, "deadly"), DecidedAt: router.now})
+	for range 20 {
+		router.arriveWithPrompt("shared", "deadly", "own")
+	}
+	assert.Empty(t, router.state.modelTraffic)
+	assert.Zero(t, lo.Sum(router.state.retryBudget.window(router.now, llm).requestCounts[:]))
+}
+
+func TestAnsweredPartIsObjectedTo(t *testing.T) {
+	for name, change := range map[string]func(r *stock.Report){
+		"suspect": func(r *stock.Report) { r.Suspects = []poison.Part{poison.PartOf(llm, "shared")} },
+		"convicted": func(r *stock.Report) {
+			r.Verdicts = []poison.Verdict{{Part: poison.PartOf(llm, "shared"), DecidedAt: time.UnixMilli(1_000_000)}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := newPromptRouter(t)
+			router.endAttempt(router.arriveWithPrompt("shared", "own"), Done)
+			router.report("e1", change)
+			objection := onlyEffect[ReportAnswered](router)
+			assert.Equal(t, ReportAnswered{Judge: "e1", Parts: []poison.Part{poison.PartOf(llm, "shared")}}, objection)
+			router.arriveWithPrompt("shared", "own")
+			onlyEffect[Send](router)
+		})
+	}
+}
+
+func TestVerdictsSpreadToAgentsThatLackThem(t *testing.T) {
+	router := newPromptRouter(t)
+	v := poison.Verdict{Part: poison.PartOf(llm, "deadly"), DecidedAt: router.now, CrashCount: 3}
+	router.reportVerdicts("e1", v)
+	told := lo.Map(effectsOf[ReportVerdicts](router), func(eff ReportVerdicts, _ int) string { return eff.Agent })
+	assert.Equal(t, []string{"e2", "e3"}, told)
+	router.now = router.now.Add(time.Second)
+	router.reportVerdicts("e2", v)
+	assert.Empty(t, effectsOf[ReportVerdicts](router), "known there now")
+	router.apply(AgentLost{Instance: "e2"})
+	router.report("e2", withModels("a"))
+	assert.Equal(t, ReportVerdicts{Agent: "e2", Verdicts: []poison.Verdict{v}}, onlyEffect[ReportVerdicts](router), "the agent has restarted")
+}
+
+func TestLiftedVerdictLetsRequestsPass(t *testing.T) {
+	router := newPromptRouter(t)
+	part := poison.PartOf(llm, "deadly")
+	router.reportVerdicts("e1", poison.Verdict{Part: part, DecidedAt: router.now, CrashCount: 3})
+	router.now = router.now.Add(time.Second)
+	router.reportVerdicts("e2", poison.Verdict{Part: part, DecidedAt: router.now, Lifted: true})
+	router.arriveWithPrompt("shared", "deadly", "own")
+	onlyEffect[Send](router)
+	router.now = router.now.Add(time.Second)
+	router.reportVerdicts("e1", poison.Verdict{Part: part, DecidedAt: router.now.Add(-2 * time.Second), CrashCount: 3})
+	router.arriveWithPrompt("shared", "deadly", "own")
+	onlyEffect[Send](router)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -68,6 +68,7 @@
 	// the unanswered ones.
 	lastAskNumber uint64
 	pendingAsks   map[uint64]*endpoint
+	poison        poisonState
 }
 
 // request is a request in progress.
@@ -77,8 +78,9 @@
 	// target is the endpoint of the attempt in progress; nil while the request waits.
 	target *endpoint
 	// answerBegan reports whether the first part of the answer to the attempt in progress
-	// has been received.
-	answerBegan bool
+	// has been received, answerBeganAt the time of it.
+	answerBegan   bool
+	answerBeganAt time.Time
 	// sentAt is the start time of the attempt in progress.
 	sentAt time.Time
 	// attemptCount is the number of all attempts, possibleRunCount the number of those that may
@@ -123,6 +125,7 @@
 		outdatedDemands: make(map[string]bool),
 		retryBudget:     newRetryBudget(cfg),
 		pendingAsks:     make(map[uint64]*endpoint),
+		poison:          newPoisonState(),
 	}
 }
 
@@ -173,6 +176,9 @@
 func (s *State) handleRequestArrived(ev RequestArrived) {
 	r := &request{Request: ev.Request, id: ev.ID, arrivedAt: s.now}
 	s.requests[ev.ID] = r
+	if s.refuseIfConvicted(r) {
+		return
+	}
 	s.retryBudget.countRequest(s.now, r.Service)
 	if r.Item.Model != "" {
 		s.countTraffic(r)
@@ -186,6 +192,9 @@
 		s.expire(r)
 		return
 	}
+	if s.refuseIfConvicted(r) {
+		return
+	}
 	if s.shutdownOver() || s.wouldBeCutOff(r) {
 		s.refuseOrFail(r, Stopping, s.now)
 		return
@@ -274,7 +283,7 @@
 	if r == nil || r.target == nil || r.answerBegan {
 		return
 	}
-	r.answerBegan = true
+	r.answerBegan, r.answerBeganAt = true, s.now
 	r.target.recordAnswerStart(r, s.now)
 	s.dispatchWaiting()
 }
--- a/core/relay/targets.go
+++ b/core/relay/targets.go
@@ -48,6 +48,7 @@
 func (s *State) followTargets() []*endpoint {
 	candidates := append(s.baselineCandidates(), s.loaderCandidates()...)
 	candidates = append(candidates, s.limitedCandidates()...)
+	candidates = append(candidates, s.judgeCandidates()...)
 	for _, model := range slices.Sorted(maps.Keys(s.modelTraffic)) {
 		candidates = append(candidates, s.modelCandidates(model, s.modelTraffic[model])...)
 	}
--- a/core/stock/stock.go
+++ b/core/stock/stock.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"chervilreach/core/poison"
 )
 
 // Item identifies a model or one of its adapters.
@@ -82,6 +84,11 @@
 	Limits []EndpointLimit
 	// Down reports whether the endpoint refuses connections, so that its process has ended.
 	Down bool
+	// Suspects are prompt parts that may crash endpoints, sorted. A router that knows an answer
+	// to one of them tells the agent.
+	Suspects []poison.Part
+	// Verdicts are the verdicts on prompt parts known to the agent, sorted by part.
+	Verdicts []poison.Verdict
 }
 
 // EndpointLimit is the rate limit that an endpoint names in its answers, or its end.
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilreach/core/event"
+	"chervilreach/core/poison"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
 )
@@ -70,6 +71,8 @@
 	pollInFlight bool
 	// limits has the limited endpoints by instance.
 	limits map[string]*limitedEndpoint
+	// judge finds the prompt parts that crash the endpoints of the agent's service.
+	judge *poison.Judge
 	// endpointDown reports whether the endpoint refused the connection of the last poll.
 	endpointDown bool
 	// publishedReport is the last report sent to routers, publishedAt the time of it.
@@ -104,6 +107,7 @@
 		drainingAdapters: make(map[stock.Item]time.Time),
 		requestedSince:   make(map[stock.Item]time.Time),
 		limits:           make(map[string]*limitedEndpoint),
+		judge:            poison.NewJudge(),
 	}
 }
 
@@ -132,7 +136,18 @@
 		s.handlePermitAsked(ev)
 	case LimitReported:
 		s.noteLimit(ev.Limit)
+	case CrashesReported:
+		for _, c := range ev.Crashes {
+			s.judge.AddCrash(c)
+		}
+	case PartsAnswered:
+		s.judge.Clear(s.now, ev.Parts)
+	case VerdictsReported:
+		for _, v := range ev.Verdicts {
+			s.judge.AddVerdict(v)
+		}
 	}
+	s.judgeParts()
 	s.trackLoadRequests()
 	s.completeOrderIfDone()
 	s.issueNextOrderIfPossible()
@@ -271,11 +286,13 @@
 		// A process that has ended holds nothing.
 		r.Models, r.Loads, r.Running, r.Waiting, r.KVUsed = nil, nil, 0, 0, 0
 	}
+	r.Suspects, r.Verdicts = s.judge.Suspects(s.now), s.judge.Verdicts(s.now)
 	old := &s.publishedReport
 	sinceLast := s.now.Sub(s.publishedAt)
-	changed := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Down != old.Down || r.Routers != old.Routers ||
+	changed := r.Instance != old.Instance || r.Leaving != old.Leaving || r.Routers != old.Routers ||
 		!slices.EqualFunc(r.Models, old.Models, stock.LoadedModel.Equal) || !slices.EqualFunc(r.Loads, old.Loads, sameItem) ||
-		!slices.EqualFunc(r.Limits, old.Limits, stock.EndpointLimit.Equal)
+		!slices.EqualFunc(r.Limits, old.Limits, stock.EndpointLimit.Equal) || r.Down != old.Down ||
+		!slices.Equal(r.Suspects, old.Suspects) || !slices.EqualFunc(r.Verdicts, old.Verdicts, poison.Verdict.Equal)
 	loadChanged := r.Running != old.Running || r.Waiting != old.Waiting
 	minInterval := max(time.Duration(len(s.routers))*reportIntervalPerRouter, s.reportGap())
 	if !changed && (!loadChanged || sinceLast < max(loadReportInterval, minInterval)) && sinceLast < max(maxReportInterval, minInterval) {
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -204,6 +204,8 @@
 		x.d.logLimitChange(eff)
 	case relay.Wait:
 		x.d.logWait(eff)
+	default:
+		x.doPoison(eff)
 	}
 }
 
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"chervilreach/core/relay"
@@ -164,6 +165,7 @@
 	ended := relay.AttemptEnded{ID: x.id}
 	err := x.tryEndpoint(ctx, send, &ended)
 	ended.LastEvent, ended.Version, ended.Answering = x.lastEventID, x.weightsVersion, x.headerSent
+	ended.Cut = isCut(err)
 	switch {
 	case errors.Is(err, errCallerGone):
 		ended.Result = relay.Abandoned
@@ -197,6 +199,7 @@
 	}
 	c, err := x.connect(ctx, send.Address, maxIdle)
 	if err != nil {
+		ended.Refused = errors.Is(err, syscall.ECONNREFUSED)
 		return err
 	}
 	stop := context.AfterFunc(ctx, c.Abort)
@@ -279,6 +282,12 @@
 	return keep, nil
 }
 
+// isCut reports whether err means that the endpoint has closed the connection.
+func isCut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
 // Only an answer that the endpoint has generated itself can end a limit.
 func (x *exchange) reportLimit(send relay.Send, info AnswerInfo) {
--- /dev/null
+++ b/io/relayd/poison.go
@@ -0,0 +1,72 @@
+package relayd
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"chervilreach/core/event"
+	"chervilreach/core/poison"
+	"chervilreach/core/relay"
+	"chervilreach/io/wire"
+	"chervilreach/io/wire/wirepb"
+)
+
+// doPoison executes an effect that concerns prompt parts which crash endpoints.
+func (x executor) doPoison(eff event.Effect) {
+	switch eff := eff.(type) {
+	case relay.ReportCrashes:
+		body := wire.EncodeCrashes(time.Now(), eff.Crashes)
+		go x.d.agents.tell(eff.Judge, "crashes", &wirepb.Frame{Body: &wirepb.Frame_CrashReports{CrashReports: body}})
+	case relay.ReportAnswered:
+		body := wire.EncodeAnswered(eff.Parts)
+		go x.d.agents.tell(eff.Judge, "answered parts", &wirepb.Frame{Body: &wirepb.Frame_AnsweredParts{AnsweredParts: body}})
+	case relay.ReportVerdicts:
+		body := wire.EncodeVerdicts(time.Now(), eff.Verdicts)
+		go x.d.agents.tell(eff.Agent, "verdicts", &wirepb.Frame{Body: &wirepb.Frame_PartVerdicts{PartVerdicts: body}})
+	case relay.EndpointCrashed:
+		x.d.logCrash(eff)
+	case relay.VerdictChanged:
+		x.d.logVerdict(eff)
+	case relay.PartRefused:
+		x.d.logPartRefused(eff)
+	}
+}
+
+// tell sends a frame to the agent of an endpoint, which does not answer. what describes the frame
+// in the log.
+func (a *agentConns) tell(instance, what string, f *wirepb.Frame) {
+	s, err := a.send(instance, f)
+	if err != nil {
+		a.d.log.Info().Err(err).Str("endpoint", instance).Str("report", what).Msg("could not report to agent")
+		return
+	}
+	_ = s.Close()
+}
+
+// logCrash logs the crash of an endpoint.
+func (d *Daemon) logCrash(eff relay.EndpointCrashed) {
+	d.log.Warn().Str("endpoint", eff.Endpoint).Int("lost", eff.Lost).
+		Strs("suspects", lo.Map(eff.Suspects, func(s poison.Suspect, _ int) string { return s.Part.String() })).
+		Msg("endpoint crashed")
+}
+
+// logVerdict logs a new verdict on a prompt part.
+func (d *Daemon) logVerdict(eff relay.VerdictChanged) {
+	v := eff.Verdict
+	d.log.Warn().Stringer("part", v.Part).Bool("lifted", v.Lifted).Int("crashes", v.CrashCount).
+		Int64("age-ms", time.Since(v.DecidedAt).Milliseconds()).Str("told-by", eff.Source).Msg("verdict on prompt part changed")
+}
+
+// logPartRefused logs that a request is refused for a convicted part of its prompt.
+func (d *Daemon) logPartRefused(eff relay.PartRefused) {
+	d.mu.Lock()
+	x := d.exchanges[eff.ID]
+	d.mu.Unlock()
+	if x == nil {
+		return
+	}
+	d.log.Info().Str("request", x.request.AttemptID).Str("route", x.route.Name).Str("part-id", eff.PartID).
+		Stringer("part", eff.Verdict.Part).Int("crashes", eff.Verdict.CrashCount).
+		Int64("verdict-age-ms", time.Since(eff.Verdict.DecidedAt).Milliseconds()).Msg("prompt part refused")
+}
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -150,8 +150,8 @@
 }
 
 // Serve implements wire.Handler. The first frame determines the use of the stream: a hello, a
-// request for the routes, the limit of an endpoint, an ask for a permit, or the exchange of
-// demands and reports with a router.
+// request for the routes, the limit of an endpoint, an ask for a permit, a report on prompt parts
+// that crash endpoints, or the exchange of demands and reports with a router.
 func (d *Daemon) Serve(_ context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
 	defer func() { _ = s.Close() }()
 	if first.GetHello() != nil {
@@ -166,6 +166,10 @@
 		d.loop.Post(swap.LimitReported{Limit: wire.DecodeLimit(time.Now(), l)})
 		return
 	}
+	if ev := poisonEvent(first); ev != nil {
+		d.loop.Post(ev)
+		return
+	}
 	if ask := first.GetSendPermitAsk(); ask != nil {
 		d.answerPermitAsk(c, s, ask)
 		return
@@ -311,6 +315,8 @@
 		x.d.publish(eff.Report)
 	case swap.PermitAnswered:
 		x.d.passPermitAnswer(eff)
+	case swap.PartConvicted:
+		x.d.log.Warn().Stringer("part", eff.Verdict.Part).Int("crashes", eff.Verdict.CrashCount).Msg("prompt part convicted")
 	}
 }
 
--- a/io/wire/stock.go
+++ b/io/wire/stock.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"chervilreach/core/poison"
 	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 	"chervilreach/io/wire/wirepb"
@@ -53,8 +54,8 @@
 	}
 }
 
-// EncodeStock returns the message for a report. It omits the cached weights if they are the
-// same as in last, the report sent before on the same stream, or the zero Report for the first
+// EncodeStock returns the message for a report. It omits the cached weights and the verdicts if
+// they are the same as in last, the report sent before on the same stream, or the zero Report for the first
 // one. Times are encoded relative to now.
 func EncodeStock(now time.Time, r, last stock.Report) *wirepb.Stock {
 	s := &wirepb.Stock{
@@ -69,8 +70,12 @@
 				Model: l.Item.Model, Adapter: l.Item.Adapter, RemainingUs: l.ReadyAt.Sub(now).Microseconds(),
 			}
 		}),
-		Limits: lo.Map(r.Limits, func(l stock.EndpointLimit, _ int) *wirepb.EndpointLimit { return EncodeLimit(now, l) }),
-		Down:   r.Down,
+		Limits:   lo.Map(r.Limits, func(l stock.EndpointLimit, _ int) *wirepb.EndpointLimit { return EncodeLimit(now, l) }),
+		Down:     r.Down,
+		Suspects: encodeParts(r.Suspects),
+	}
+	if !slices.EqualFunc(r.Verdicts, last.Verdicts, poison.Verdict.Equal) {
+		s.Verdicts = EncodeVerdicts(now, r.Verdicts)
 	}
 	if !r.Copies.Equal(last.Copies) || r.Instance != last.Instance {
 		s.Copied = &wirepb.Copied{Memory: r.Copies.Memory, Disk: r.Copies.Disk}
@@ -109,8 +114,13 @@
 			item := stock.Item{Model: l.GetModel(), Adapter: l.GetAdapter()}
 			return stock.ScheduledLoad{Item: item, ReadyAt: now.Add(micros(l.GetRemainingUs()))}
 		}),
-		Copies: last.Copies,
-		Down:   s.GetDown(),
+		Copies:   last.Copies,
+		Down:     s.GetDown(),
+		Suspects: decodeParts(s.GetSuspects()),
+		Verdicts: last.Verdicts,
+	}
+	if v := s.GetVerdicts(); v != nil {
+		r.Verdicts = DecodeVerdicts(now, v)
 	}
 	for _, l := range s.GetLimits() {
 		r.Limits = append(r.Limits, DecodeLimit(now, l))
