io/guard: count each request that a router has read in one outcome

A request that ended without an answer had no line and no count of its own: net/http ends a panicking handler by closing the connection and writes that to the process's standard error, and a handler that returns without an answer gives an empty 200. Requests that were rejected or met no route were not counted at all, and an answer that was cut off was counted as failed.

The handlers of both kinds of router now run under guard.Guard. Each request ends in exactly one of answered, refused, rejected, failed, endpoint-failed, cut, left; a handler that ends without one is counted as unknown with a warning. A panic is logged with the request's ID and the stack, counted, and answered with 500 unless the answer has begun; the reducer forgets the request. The error log of the servers for callers goes into the process's log.

The whole-path tests, the demo and the soak fail if a request ends as unknown or panicked; the soak reads the routers' logs, because counters are lost with a killed process.

--- a/demo/check.go
+++ b/demo/check.go
@@ -10,6 +10,7 @@
 
 	"chervilreach/core/fleet"
 	"chervilreach/fakes"
+	"chervilreach/io/guard"
 )
 
 // Check is the result of checking one invariant: how often it was evaluated, and a message
@@ -34,7 +35,7 @@
 func (f *Fleet) checkInvariants(results []result) []Check {
 	return []Check{
 		f.checkReplicas(), f.checkMemory(), f.checkPatience(results), f.checkAnswers(results),
-		f.checkNotRunRefusals(results), f.checkAtMostOnce(results),
+		f.checkNotRunRefusals(results), f.checkAtMostOnce(results), f.checkOutcomes(),
 	}
 }
 
@@ -161,6 +162,18 @@
 	return c
 }
 
+// checkOutcomes checks that each request ended in a known outcome at its router.
+func (f *Fleet) checkOutcomes() Check {
+	c := Check{Name: "outcomes-known"}
+	for _, r := range f.Routers {
+		for _, o := range []guard.Outcome{guard.Unknown, guard.Panicked} {
+			n := r.OutcomeCount(o)
+			c.expect(n == 0, "%s: %d requests %s", r.Status().Process, n, o)
+		}
+	}
+	return c
+}
+
 // idleTime returns the time during which loaded models of an engine had no requests, summed
 // over the models.
 func idleTime(e *fakes.Engine) time.Duration {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -10,6 +10,7 @@
 
 	"chervilreach/core/fleet"
 	"chervilreach/core/record"
+	"chervilreach/io/guard"
 )
 
 // exchange is the state of one HTTP request from a caller and of the response to it.
@@ -255,16 +256,17 @@
 	case errors.Is(context.Cause(x.r.Context()), errDrainTimeout):
 		err = drainRefusal(err)
 	case out.callerGone || x.r.Context().Err() != nil:
-		x.front.meters.countCallerGone()
-		panic(http.ErrAbortHandler)
+		x.abandon()
 	}
 	p := x.problemFor(err)
 	if !out.headerSent {
+		guard.End(x.w, guard.Refused)
 		out.extendWriteDeadline()
 		p.write(x.w)
 		return
 	}
 	x.front.meters.countTruncated()
+	guard.End(x.w, guard.Cut)
 	out.sendProblem(p)
 	panic(http.ErrAbortHandler)
 }
@@ -280,12 +282,20 @@
 // finish sends the buffered part of a complete response and counts the response.
 func (x *exchange) finish(out *sink) {
 	if err := out.finish(); err != nil {
-		x.front.meters.countCallerGone()
-		panic(http.ErrAbortHandler)
+		x.abandon()
 	}
+	guard.End(x.w, guard.Answered)
 	x.front.meters.countAnswered()
 }
 
+// abandon ends a request whose caller has disconnected or reads too slowly. It panics with
+// http.ErrAbortHandler.
+func (x *exchange) abandon() {
+	x.front.meters.countCallerGone()
+	guard.End(x.w, guard.Left)
+	panic(http.ErrAbortHandler)
+}
+
 // temporaryRefusal returns a refusal that asks the caller to retry after retryDelay.
 func (x *exchange) temporaryRefusal(code fleet.Code, detail string) error {
 	err := newRefusedError(code, detail)
@@ -302,6 +312,7 @@
 
 // writeRefusal writes the response to a request that is not dispatched.
 func (x *exchange) writeRefusal(err error) {
+	guard.End(x.w, guard.Refused)
 	x.extendWriteDeadline()
 	x.problemFor(err).write(x.w)
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"chervilreach/core/fleet"
+	"chervilreach/io/guard"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 )
 
 // Readiness reports whether the process can serve calls.
@@ -72,6 +74,8 @@
 	NewID func() string
 	// Metrics is the registry for the front's metrics. It may be nil.
 	Metrics metrics.Registry
+	// Log receives requests that end without a known outcome, and errors of connections.
+	Log zerolog.Logger
 }
 
 // Front is the HTTP handler for callers. Its methods may be called concurrently.
@@ -84,6 +88,7 @@
 	newID      func() string
 	meters     *meters
 	mux        *http.ServeMux
+	guard      guard.Guard
 	// inFlightCalls is the number of calls in progress.
 	inFlightCalls atomic.Int64
 	// bodyBytes is the memory reserved for the request bodies of all calls in progress.
@@ -103,6 +108,7 @@
 		meters:     newMeters(opts.Metrics),
 		mux:        http.NewServeMux(),
 	}
+	f.guard = guard.Guard{Log: opts.Log, Metrics: f.meters.registry, Prefix: metricRequests, IDHeader: headerRequestID}
 	f.limits = f.limits.withDefaults()
 	if f.now == nil {
 		f.now = time.Now
@@ -115,7 +121,10 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.guard.Serve(w, r, f.serve) }
+
+// serve serves a request whose outcome is counted.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
 	if f.draining.Load() {
 		// The load balancer sends callers that reconnect to another router.
 		w.Header().Set("Connection", "close")
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"chervilreach/core/fleet"
+	"chervilreach/io/guard"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -16,6 +17,10 @@
 	firstByteTime metrics.Histogram
 }
 
+// metricRequests is the prefix of the counters of requests by their guard.Outcome. Requests that
+// are not calls count too.
+const metricRequests = "front.requests."
+
 // Size and decay factor of a histogram's sample. The values are those that go-metrics uses
 // for its timers.
 const (
@@ -36,6 +41,11 @@
 	}
 }
 
+// RequestCount returns the number of requests that ended in an outcome.
+func (f *Front) RequestCount(o guard.Outcome) int64 {
+	return metrics.GetOrRegisterCounter(metricRequests+string(o), f.meters.registry).Count()
+}
+
 // count increments the counter "front."+name.
 func (m *meters) count(name string) {
 	metrics.GetOrRegisterCounter("front."+name, m.registry).Inc(1)
--- a/io/front/openapi.go
+++ b/io/front/openapi.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"reflect"
 
+	"chervilreach/io/guard"
+
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 )
@@ -115,6 +117,7 @@
 			x.writeRefusal(err)
 			return
 		}
+		guard.End(w, guard.Answered)
 		x.extendWriteDeadline()
 		w.Header().Set("Content-Type", mediaJSON)
 		_ = json.NewEncoder(w).Encode(x.index.listModels(x.member))
@@ -124,6 +127,11 @@
 // registerHealth registers the health and readiness checks for the platform's load balancer.
 func (f *Front) registerHealth(api huma.API) {
 	type output struct{ Body status }
+	api.UseMiddleware(func(ctx huma.Context, next func(huma.Context)) {
+		next(ctx)
+		_, w := humago.Unwrap(ctx)
+		guard.End(w, guard.Answered)
+	})
 	huma.Get(api, pathHealth, func(context.Context, *struct{}) (*output, error) {
 		return &output{Body: status{Status: "ok"}}, nil
 	})
@@ -143,6 +151,8 @@
 		panic("front: OpenAPI document: " + err.Error())
 	}
 	api.Adapter().Handle(&huma.Operation{Method: http.MethodGet, Path: pathOpenAPI}, func(ctx huma.Context) {
+		_, w := humago.Unwrap(ctx)
+		guard.End(w, guard.Answered)
 		ctx.SetHeader("Content-Type", "application/openapi+json")
 		_, _ = ctx.BodyWriter().Write(document)
 	})
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"chervilreach/io/logs"
 )
 
 // Limits of the callers' connections.
@@ -48,6 +50,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          logs.ErrorLog(f.guard.Log),
 			BaseContext:       func(net.Listener) context.Context { return callsCtx },
 		},
 		drainDelay:  drainDelay,
--- /dev/null
+++ b/io/guard/guard_test.go
@@ -0,0 +1,100 @@
+package guard_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/io/guard"
+)
+
+// Guards against a handler whose panic or return leaves a request without an answer, a counted
+// outcome and a line.
+func TestHandlerThatEndsWithoutOutcome(t *testing.T) {
+	for name, c := range map[string]struct {
+		handler http.HandlerFunc
+		// status is 0 if the connection is closed before the answer, and cut reports whether
+		// it is closed within it.
+		status  int
+		cut     bool
+		outcome guard.Outcome
+		message string
+	}{
+		"answered": {func(w http.ResponseWriter, _ *http.Request) {
+			guard.End(w, guard.Answered)
+			_, _ = io.WriteString(w, "whole")
+		}, 200, false, guard.Answered, ""},
+		"cut off": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			guard.End(w, guard.Cut)
+			panic(http.ErrAbortHandler)
+		}, 200, true, guard.Cut, ""},
+		"panic before the answer": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Seal", "s")
+			panic("bug")
+		}, 500, false, guard.Panicked, guard.MessagePanic},
+		"panic within the answer": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic("bug")
+		}, 200, true, guard.Panicked, guard.MessagePanic},
+		"panic after an outcome": {func(w http.ResponseWriter, _ *http.Request) {
+			guard.End(w, guard.Answered)
+			panic("bug")
+		}, 500, false, guard.Panicked, guard.MessagePanic},
+		"returns without an answer": {func(http.ResponseWriter, *http.Request) {}, 500, false, guard.Unknown, guard.MessageUnknown},
+		"returns without an outcome": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "whole")
+		}, 200, false, guard.Unknown, guard.MessageUnknown},
+		"aborted without an outcome": {func(http.ResponseWriter, *http.Request) {
+			panic(http.ErrAbortHandler)
+		}, 0, false, guard.Unknown, guard.MessageUnknown},
+		"aborted though answered": {func(w http.ResponseWriter, _ *http.Request) {
+			guard.End(w, guard.Answered)
+			panic(http.ErrAbortHandler)
+		}, 0, false, guard.Unknown, guard.MessageUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			registry := metrics.NewRegistry()
+			g := &guard.Guard{Log: zerolog.New(&log), Metrics: registry, Prefix: "requests.", IDHeader: "X-Id"}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.Serve(w, r, c.handler) }))
+			defer server.Close()
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, nil)
+			require.NoError(t, err)
+			req.Header.Set("X-Id", "r-1")
+			resp, err := server.Client().Do(req)
+			if c.status == 0 {
+				require.Error(t, err)
+			} else {
+				require.NoError(t, err)
+				defer func() { _ = resp.Body.Close() }()
+				assert.Equal(t, c.status, resp.StatusCode)
+				_, err = io.ReadAll(resp.Body)
+				assert.Equal(t, c.cut, err != nil)
+			}
+			if c.status == http.StatusInternalServerError {
+				assert.Empty(t, resp.Header.Get("X-Seal"))
+			}
+			// The handler has ended when the server is closed.
+			server.Close()
+			counts := make(map[string]int64)
+			registry.Each(func(name string, m any) { counts[name] = m.(metrics.Counter).Count() })
+			assert.Equal(t, map[string]int64{"requests." + string(c.outcome): 1}, counts)
+			if c.message == "" {
+				assert.Empty(t, log.String())
+				return
+			}
+			assert.Contains(t, log.String(), c.message)
+			assert.Contains(t, log.String(), `"request":"r-1"`)
+		})
+	}
+}
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -7,6 +7,7 @@
 
 	"chervilreach/io/logs"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
 
@@ -28,3 +29,10 @@
 	_, err := logs.New(&bytes.Buffer{}, "p", "loud", nil)
 	require.ErrorContains(t, err, `log level "loud"`)
 }
+
+// TestErrorLog checks that a line of an http.Server becomes a warning.
+func TestErrorLog(t *testing.T) {
+	var out bytes.Buffer
+	logs.ErrorLog(zerolog.New(&out)).Printf("http: Accept error: %v", "bad")
+	require.JSONEq(t, `{"level":"warn","error":"http: Accept error: bad","message":"server for callers"}`, out.String())
+}
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -117,11 +117,12 @@
 		Store: platform.Store, Prefix: platform.Prefix, WatchPause: cfg.Store.WatchPause, WatchWait: cfg.Store.WatchWait, Log: log.Logger,
 		OnChange: r.onStoreChange,
 	})
+	errorLog := logs.ErrorLog(log.Logger)
 	r.callerServer = &http.Server{
 		Handler: r.daemon, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ConnContext: relayd.WithConn,
+		ConnContext: relayd.WithConn, ErrorLog: errorLog,
 	}
-	r.readinessServer = &http.Server{Handler: http.HandlerFunc(r.handleReadiness), ReadHeaderTimeout: callerHeaderTimeout}
+	r.readinessServer = &http.Server{Handler: http.HandlerFunc(r.handleReadiness), ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: errorLog}
 	return r
 }
 
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -20,6 +20,7 @@
 	"chervilreach/io/admin"
 	"chervilreach/io/etcd"
 	"chervilreach/io/front"
+	"chervilreach/io/guard"
 	"chervilreach/io/hosts"
 	"chervilreach/io/line"
 	"chervilreach/io/logs"
@@ -32,6 +33,8 @@
 	in          do.Injector
 	cfg         *config.Config
 	daemon      *routed.Daemon
+	log         *logs.Log
+	front       *front.Front
 	server      *front.Server
 	adminServer *http.Server
 	startedAt   time.Time
@@ -53,8 +56,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("create router: %w", err)
 	}
-	r := &Router{in: in, cfg: cfg, daemon: daemon, stopped: make(chan error, 1)}
-	r.server = front.NewServer(r.newFront(), cfg.Router.DrainDelay)
+	log, err := do.Invoke[*logs.Log](in)
+	if err != nil {
+		return nil, fmt.Errorf("create router: %w", err)
+	}
+	r := &Router{in: in, cfg: cfg, daemon: daemon, log: log, stopped: make(chan error, 1)}
+	r.front = r.newFront()
+	r.server = front.NewServer(r.front, cfg.Router.DrainDelay)
 	return r, nil
 }
 
@@ -94,9 +102,13 @@
 			BodyTimeout: r.cfg.Router.BodyTimeout, ChunkTimeout: r.cfg.Router.ChunkTimeout,
 		},
 		Metrics: do.MustInvoke[metrics.Registry](r.in),
+		Log:     r.log.Logger,
 	})
 }
 
+// OutcomeCount returns the number of callers' requests that ended in an outcome.
+func (r *Router) OutcomeCount(o guard.Outcome) int64 { return r.front.RequestCount(o) }
+
 // Start starts the router, which runs until Stop or Kill is called or ctx is canceled.
 func (r *Router) Start(ctx context.Context) error {
 	ctx, r.stop = context.WithCancel(ctx)
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -17,6 +17,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/io/conns"
+	"chervilreach/io/guard"
 	"chervilreach/io/loop"
 	"chervilreach/io/wire"
 )
@@ -61,6 +62,7 @@
 	shuttingDown   atomic.Bool
 	agents         *agentConns
 	meters         meters
+	guard          guard.Guard
 	// bodyBytes is the total size of the bodies of the requests in progress.
 	bodyBytes atomic.Int64
 
@@ -80,6 +82,10 @@
 		opts: opts, log: opts.Log, pool: conns.NewPool(),
 		exchanges: make(map[relay.RequestID]*exchange), meters: newMeters(opts.Metrics),
 	}
+	d.guard = guard.Guard{Log: opts.Log, Metrics: d.meters.registry, Prefix: metricRequests}
+	if opts.HeaderCodec != nil {
+		d.guard.IDHeader = opts.HeaderCodec.IDHeader()
+	}
 	d.attemptsCtx, d.cancelAttempts = context.WithCancel(context.Background())
 	d.loop = loop.New(relay.New(opts.Settings), opts.Recorder)
 	d.agents = newAgentConns(d)
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -15,6 +15,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/io/conns"
+	"chervilreach/io/guard"
 )
 
 const (
@@ -63,6 +64,8 @@
 	// headerSent reports whether the status and header of an answer have been written to the
 	// caller. Another answer can't be sent then.
 	headerSent bool
+	// ended reports whether the outcome of the request is known.
+	ended bool
 	// lastEventID is the ID of the last stream event forwarded to the caller, or relay.NoEvent.
 	lastEventID int64
 	// weightsVersion is the version of the weights that generated the last answer; 0 if
@@ -94,18 +97,18 @@
 func (x *exchange) run(ctx context.Context) {
 	x.arrivedAt = time.Now()
 	x.d.addExchange(x)
-	defer x.d.removeExchange(x)
+	defer x.finish()
 	x.d.loop.Post(relay.RequestArrived{ID: x.id, Request: x.request})
 	for {
 		select {
 		case <-ctx.Done():
 			x.d.loop.Post(relay.CallerDone{ID: x.id})
-			x.logOutcome("left", "caller disconnected")
+			x.logOutcome(guard.Left, "caller disconnected")
 			return
 		case cmd := <-x.commands:
 			if x.callerGone(ctx) {
 				x.d.loop.Post(relay.CallerDone{ID: x.id})
-				x.logOutcome("left", "caller disconnected")
+				x.logOutcome(guard.Left, "caller disconnected")
 				return
 			}
 			if x.execute(ctx, cmd) {
@@ -115,6 +118,16 @@
 	}
 }
 
+// finish removes the request. It also removes it from the reducer, which still has it if the
+// handler has panicked.
+func (x *exchange) finish() {
+	x.d.removeExchange(x)
+	x.d.meters.answerTime.UpdateSince(x.arrivedAt)
+	if !x.ended {
+		x.d.loop.Post(relay.CallerDone{ID: x.id})
+	}
+}
+
 // execute executes a command of the reducer. It reports whether the request now has its
 // final answer.
 func (x *exchange) execute(ctx context.Context, cmd any) bool {
@@ -123,13 +136,12 @@
 	case relay.Send:
 		return x.attempt(ctx, cmd)
 	case relay.Refuse:
-		x.logOutcome("refused", string(cmd.Reason))
+		x.logOutcome(guard.Refused, string(cmd.Reason))
 		refuse(x.w, http.StatusServiceUnavailable, max(time.Until(cmd.RetryAt), 0), string(cmd.Reason))
 	case relay.Fail:
-		x.logOutcome("failed", string(cmd.Reason))
 		x.fail(cmd.Reason)
 	case relay.DeliverFailure:
-		x.logOutcome("endpoint-failed", "")
+		x.logOutcome(guard.EndpointFailed, "")
 		x.writeAnswer(x.failedAnswer)
 	}
 	return true
@@ -139,8 +151,9 @@
 // http.ErrAbortHandler to cut the answer off if its beginning has been sent.
 func (x *exchange) fail(reason relay.Reason) {
 	if x.headerSent {
-		panic(http.ErrAbortHandler)
+		x.cutOff(string(reason))
 	}
+	x.logOutcome(guard.Failed, string(reason))
 	status := http.StatusBadGateway
 	if reason == relay.DeadlineExceeded {
 		status = http.StatusGatewayTimeout
@@ -148,6 +161,12 @@
 	http.Error(x.w, string(reason), status)
 }
 
+// cutOff ends an answer whose beginning has been sent. It panics with http.ErrAbortHandler.
+func (x *exchange) cutOff(reason string) {
+	x.logOutcome(guard.Cut, reason)
+	panic(http.ErrAbortHandler)
+}
+
 // attempt makes one attempt, posts its outcome to the reducer, and reports whether the
 // request has its final answer. It panics with http.ErrAbortHandler if the caller has
 // disconnected.
@@ -177,10 +196,12 @@
 	x.d.loop.Post(ended)
 	if ended.Result == relay.Done || ended.Result == relay.Abandoned {
 		if ended.Result == relay.Abandoned {
-			x.logOutcome("left", "caller disconnected")
+			x.logOutcome(guard.Left, "caller disconnected")
 			panic(http.ErrAbortHandler)
 		}
-		x.d.meters.recordOutcome("answered", x.arrivedAt)
+		if !x.ended {
+			x.end(guard.Answered)
+		}
 		return true
 	}
 	return false
@@ -383,7 +404,7 @@
 // the beginning of another answer has been sent.
 func (x *exchange) writeAnswer(a *bufferedAnswer) {
 	if x.headerSent {
-		panic(http.ErrAbortHandler)
+		x.cutOff("another answer has begun")
 	}
 	x.copyHeader(a.head)
 	if x.r.Method != http.MethodHead {
@@ -391,7 +412,7 @@
 	}
 	x.w.WriteHeader(a.head.StatusCode)
 	if _, err := (callerWriter{x}).Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		x.logOutcome("left", err.Error())
+		x.logOutcome(guard.Left, err.Error())
 	}
 }
 
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -14,6 +14,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
+	"chervilreach/io/guard"
 )
 
 // Errors that callers test with errors.Is.
@@ -75,6 +76,8 @@
 // HeaderCodec defines the headers that the platform uses in requests and answers. Its methods
 // may be called concurrently.
 type HeaderCodec interface {
+	// IDHeader returns the name of the header with RequestInfo.AttemptID.
+	IDHeader() string
 	// ParseRequest parses the headers of a caller's request. Its errors wrap ErrBadRequest.
 	ParseRequest(now time.Time, h http.Header) (RequestInfo, error)
 	// SetAttemptHeaders turns the headers of the caller's request into those of an attempt.
@@ -86,15 +89,20 @@
 }
 
 // ServeHTTP implements http.Handler. It serves a request of a caller.
-func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) { d.guard.Serve(w, r, d.serve) }
+
+// serve serves a request whose outcome is counted.
+func (d *Daemon) serve(w http.ResponseWriter, r *http.Request) {
 	d.announceClose(w.Header())
 	table := d.table.Load()
 	if table == nil || !d.endpointsKnown.Load() {
+		guard.End(w, guard.Refused)
 		refuse(w, http.StatusServiceUnavailable, startupRetryAfter, "not ready")
 		return
 	}
 	rt, ok := table.Match(hostOf(r.Host), pathOf(r.RequestURI))
 	if !ok {
+		guard.End(w, guard.Rejected)
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
@@ -118,13 +126,16 @@
 // reject answers a request that could not be read with an error.
 func (d *Daemon) reject(w http.ResponseWriter, r *http.Request, err error) {
 	d.log.Warn().Err(err).Str("path", r.URL.Path).Msg("request rejected")
+	guard.End(w, guard.Rejected)
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.Is(err, ErrOverloaded):
+		guard.End(w, guard.Refused)
 		refuse(w, http.StatusServiceUnavailable, time.Second, err.Error())
 	case errors.Is(err, ErrStopping):
+		guard.End(w, guard.Refused)
 		// Other routers serve it now.
 		refuse(w, http.StatusServiceUnavailable, 0, ErrStopping.Error())
 	default:
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -7,16 +7,23 @@
 	"github.com/samber/lo"
 
 	"chervilreach/core/relay"
+	"chervilreach/io/guard"
 )
 
-// logOutcome logs how a request ended and counts the outcome.
-func (x *exchange) logOutcome(outcome, reason string) {
-	x.logOutcomeAt(zerolog.InfoLevel, outcome, reason)
+// end sets the outcome of the request. The last call counts.
+func (x *exchange) end(outcome guard.Outcome) {
+	x.ended = true
+	guard.End(x.w, outcome)
 }
 
-// logOutcomeAt is logOutcome with a log level.
+// logOutcome sets and logs the outcome of the request.
+func (x *exchange) logOutcome(outcome guard.Outcome, reason string) {
+	x.end(outcome)
+	x.logOutcomeAt(zerolog.InfoLevel, string(outcome), reason)
+}
+
+// logOutcomeAt logs the outcome of the request at a level.
 func (x *exchange) logOutcomeAt(level zerolog.Level, outcome, reason string) {
-	x.d.meters.recordOutcome(outcome, x.arrivedAt)
 	x.d.log.WithLevel(level).Str("request", x.request.AttemptID).Str("route", x.route.Name).
 		Str("model", x.request.Item.Model).Str("adapter", x.request.Item.Adapter).
 		Int64("took-ms", time.Since(x.arrivedAt).Milliseconds()).
@@ -24,14 +31,19 @@
 		Str("outcome", outcome).Str("why", reason).Msg("request")
 }
 
-// LogUnanswered logs the requests that have no final answer. It must be called when the
+// outcomeUnanswered is the outcome of a request whose handler has not ended when the process
+// ends.
+const outcomeUnanswered = "unanswered"
+
+// LogUnanswered logs and counts the requests that have no final answer. It must be called when the
 // process ends.
 func (d *Daemon) LogUnanswered() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, x := range d.exchanges {
 		// The log may drop lines below this level when there are many.
-		x.logOutcomeAt(zerolog.WarnLevel, "unanswered", string(relay.Stopping))
+		x.logOutcomeAt(zerolog.WarnLevel, outcomeUnanswered, string(relay.Stopping))
+		x.d.meters.countRequest(outcomeUnanswered)
 	}
 }
 
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -1,8 +1,6 @@
 package relayd
 
 import (
-	"time"
-
 	"github.com/rcrowley/go-metrics"
 
 	"chervilreach/core/relay"
@@ -61,8 +59,7 @@
 	}
 }
 
-// recordOutcome counts the outcome of a request and records the time since its arrival.
-func (m *meters) recordOutcome(outcome string, arrivedAt time.Time) {
+// countRequest counts a request by its outcome.
+func (m *meters) countRequest(outcome string) {
 	metrics.GetOrRegisterCounter(metricRequests+outcome, m.registry).Inc(1)
-	m.answerTime.UpdateSince(arrivedAt)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,14 +5,17 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"chervilreach/io/guard"
 	"chervilreach/platform/mock"
 )
 
@@ -281,6 +284,7 @@
 		h.addViolation("%d of the last %d requests were served after all faults", served, final)
 	}
 	h.checkLimits()
+	h.checkOutcomesKnown()
 	for _, name := range h.fleet.runLog.OvercommittedInstances() {
 		h.addViolation("%s was ordered to hold more than it can", name)
 	}
@@ -291,6 +295,23 @@
 	}
 }
 
+// checkOutcomesKnown reports a violation for each line of a router about a request that ended
+// without a known outcome. Counters would be lost with a killed process.
+func (h *harness) checkOutcomesKnown() {
+	for _, p := range h.fleet.routers {
+		text, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			h.addViolation("%s: read log: %v", p.name, err)
+			continue
+		}
+		for line := range bytes.Lines(text) {
+			if bytes.Contains(line, []byte(guard.MessageUnknown)) || bytes.Contains(line, []byte(guard.MessagePanic)) {
+				h.addViolation("%s: %s", p.name, line)
+			}
+		}
+	}
+}
+
 // checkOutcome checks the guarantees for one request.
 func (h *harness) checkOutcome(o outcome) {
 	runs := h.fleet.runLog.Runs(o.attemptID)
