io/relayd: send the head of a stream with its first event

Callers lost requests for streams without an answer: the status and header of an endpoint's stream were written before the first event had come. If the endpoint broke off in between, as one does that crashes when it begins to write, the request could no longer be answered with an error, and the caller's connection was closed with nothing on it.

The head now goes out with the first accepted event, or at the end of a stream without events. Comments before the first event are held back with it, up to the size of an event. Until then a request can be retried at another endpoint as if nothing had come, without the first endpoint's headers and comments, or be answered with an error. The version of the weights counts for a resumption only if events of it were forwarded.

--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -68,7 +68,7 @@
 	ended bool
 	// lastEventID is the ID of the last stream event forwarded to the caller, or relay.NoEvent.
 	lastEventID int64
-	// weightsVersion is the version of the weights that generated the last answer; 0 if
+	// weightsVersion is the version of the weights that generated the forwarded events; 0 if
 	// unknown.
 	weightsVersion int64
 	// limitHeader is the header with the rate limit in the last answer, for the log.
@@ -354,9 +354,8 @@
 // x.failedAnswer, as the reducer decides whether to retry. An error means that the
 // connection can't be used again.
 func (x *exchange) forwardAnswer(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
-	x.weightsVersion = info.WeightsVersion
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
-		if err := x.forwardStream(c, send, resp); err != nil {
+		if err := x.forwardStream(c, send, resp, info); err != nil {
 			return err
 		}
 		ended.Result = relay.Done
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -23,19 +23,17 @@
 
 // forwardStream forwards the events of a stream as they arrive. Only complete events are
 // forwarded, so that the stream can be resumed at another endpoint. The time from one event
-// to the next is limited to send.MaxGap; comments do not count.
-func (x *exchange) forwardStream(c *conns.Conn, send relay.Send, resp *http.Response) error {
+// to the next is limited to send.MaxGap; comments do not count. The head is sent with the first
+// event, so that until then the request can be retried or answered with an error.
+func (x *exchange) forwardStream(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo) error {
 	events := bufio.NewReaderSize(resp.Body, maxEventBytes)
-	if !x.headerSent {
-		resp.Header.Del("Content-Length")
-		x.copyHeader(resp)
-		x.w.WriteHeader(resp.StatusCode)
-	}
 	started := false
+	// comments are those before the first event.
+	var comments []byte
 	for {
 		ev, err := readEvent(events)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
-			return nil
+			return x.beginStream(resp, info, comments)
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
@@ -53,15 +51,41 @@
 				return err
 			}
 		}
+		if !started && !x.headerSent && len(comments)+len(ev) <= maxEventBytes {
+			comments = append(comments, ev...)
+			continue
+		}
 		if !x.acceptEvent(ev) {
 			continue
 		}
+		if err := x.beginStream(resp, info, comments); err != nil {
+			return err
+		}
 		if err := x.writeEvent(ev, eventBuffered(events)); err != nil {
 			return err
 		}
 	}
 }
 
+// beginStream writes the status, the header and the comments before the first event of a stream,
+// unless the beginning of the stream has been sent.
+func (x *exchange) beginStream(resp *http.Response, info AnswerInfo, comments []byte) error {
+	x.weightsVersion = info.WeightsVersion
+	if x.headerSent {
+		return nil
+	}
+	resp.Header.Del("Content-Length")
+	x.copyHeader(resp)
+	x.w.WriteHeader(resp.StatusCode)
+	if len(comments) == 0 {
+		return nil
+	}
+	if _, err := (callerWriter{x}).Write(comments); err != nil {
+		return fmt.Errorf("forward comments: %w", err)
+	}
+	return nil
+}
+
 // hasField reports whether an event has a field. Comments and empty lines, which keep a connection
 // open, are not progress of the answer.
 func hasField(ev []byte) bool {
