io/relayd: answer requests whose context ends before the caller leaves

Callers of a stopping router got an empty 200 without the endpoint's seal, or a closed connection. When the router aborts its attempts, it ends reads of bodies by a deadline on the caller's connection. net/http goes on to wait for the connection's end as soon as the last byte of a body has been read, with the same deadline; if it passes, net/http cancels the context of a request whose caller is there. The handler took that for a caller who had left: it returned without an answer, which net/http sends as an empty 200, or closed the connection.

A body whose read crosses the end of the attempts is now refused as such, whether or not its end had been read. A request whose context ends for any other reason while the caller's connection is open is refused, or failed if it may have run; and a handler whose caller has left closes the connection instead of returning.

--- a/io/relayd/caller.go
+++ b/io/relayd/caller.go
@@ -22,6 +22,13 @@
 	return ok && conns.Peek(conn) == conns.Closed
 }
 
+// callerConnected reports whether the caller's connection is open, whatever the context of the
+// request says. It returns false if the connection is not known.
+func (x *exchange) callerConnected() bool {
+	conn, ok := x.r.Context().Value(connKey{}).(net.Conn)
+	return ok && conns.Peek(conn) != conns.Closed
+}
+
 // connKey is the context key of the caller's connection.
 type connKey struct{}
 
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -38,6 +38,10 @@
 	nonIdempotentMaxIdle = 300 * time.Millisecond
 )
 
+// reasonCanceled is the reason of an error for a request that was canceled though its caller is
+// connected.
+const reasonCanceled relay.Reason = "canceled"
+
 var (
 	// errCallerGone means that the caller has disconnected or does not accept the answer.
 	errCallerGone = errors.New("caller gone")
@@ -64,6 +68,8 @@
 	// headerSent reports whether the status and header of an answer have been written to the
 	// caller. Another answer can't be sent then.
 	headerSent bool
+	// mayHaveRun reports whether an attempt has ended after which the request may have run.
+	mayHaveRun bool
 	// ended reports whether the outcome of the request is known.
 	ended bool
 	// lastEventID is the ID of the last stream event forwarded to the caller, or relay.NoEvent.
@@ -103,12 +109,12 @@
 		select {
 		case <-ctx.Done():
 			x.d.loop.Post(relay.CallerDone{ID: x.id})
-			x.logOutcome(guard.Left, "caller disconnected")
+			x.endCanceled()
 			return
 		case cmd := <-x.commands:
 			if x.callerGone(ctx) {
 				x.d.loop.Post(relay.CallerDone{ID: x.id})
-				x.logOutcome(guard.Left, "caller disconnected")
+				x.endCanceled()
 				return
 			}
 			if x.execute(ctx, cmd) {
@@ -167,6 +173,29 @@
 	panic(http.ErrAbortHandler)
 }
 
+// leave ends a request without an answer because its caller has disconnected or does not accept
+// it. It panics with http.ErrAbortHandler, because a return would send an empty answer.
+func (x *exchange) leave() {
+	x.logOutcome(guard.Left, "caller disconnected")
+	panic(http.ErrAbortHandler)
+}
+
+// endCanceled ends a request whose context is canceled. The context is canceled whenever a read of
+// the caller's connection fails. A caller that is still connected gets an error; otherwise,
+// endCanceled panics with http.ErrAbortHandler.
+func (x *exchange) endCanceled() {
+	if !x.callerConnected() {
+		x.leave()
+	}
+	x.w.Header().Set("Connection", "close")
+	if x.headerSent || x.mayHaveRun {
+		x.fail(reasonCanceled)
+		return
+	}
+	x.logOutcome(guard.Refused, string(reasonCanceled))
+	refuse(x.w, http.StatusServiceUnavailable, 0, string(reasonCanceled))
+}
+
 // attempt makes one attempt, posts its outcome to the reducer, and reports whether the
 // request has its final answer. It panics with http.ErrAbortHandler if the caller has
 // disconnected.
@@ -182,6 +211,7 @@
 	defer cancel()
 	ended := relay.AttemptEnded{ID: x.id}
 	err := x.tryEndpoint(ctx, send, &ended)
+	x.mayHaveRun = x.mayHaveRun || ended.Result == relay.Broken || ended.Result == relay.Failed
 	ended.LastEvent, ended.Version, ended.Answering = x.lastEventID, x.weightsVersion, x.headerSent
 	switch {
 	case errors.Is(err, errCallerGone):
@@ -194,17 +224,15 @@
 	}
 	x.logAttempt(send, ended, startedAt, err)
 	x.d.loop.Post(ended)
-	if ended.Result == relay.Done || ended.Result == relay.Abandoned {
-		if ended.Result == relay.Abandoned {
-			x.logOutcome(guard.Left, "caller disconnected")
-			panic(http.ErrAbortHandler)
-		}
-		if !x.ended {
-			x.end(guard.Answered)
-		}
-		return true
+	switch {
+	case errors.Is(err, errCallerGone):
+		x.leave()
+	case ended.Result == relay.Abandoned:
+		x.endCanceled()
+	case ended.Result == relay.Done && !x.ended:
+		x.end(guard.Answered)
 	}
-	return false
+	return ended.Result == relay.Done || ended.Result == relay.Abandoned
 }
 
 // tryEndpoint sends the request to the endpoint and forwards the answer. It sets the result
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -193,10 +193,9 @@
 	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 		return nil, fmt.Errorf("bound body: %w", err)
 	}
-	defer context.AfterFunc(d.attemptsCtx, func() { d.endBodyRead(rc) })()
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil && d.attemptsCtx.Err() != nil {
-		return nil, fmt.Errorf("read body: %w: %w", ErrStopping, err)
+	body, err := d.readUntilStop(rc, io.LimitReader(r.Body, limit+1))
+	if errors.Is(err, ErrStopping) {
+		return nil, fmt.Errorf("read body: %w", err)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("read body: %w: %w", ErrBadRequest, err)
@@ -211,6 +210,24 @@
 	return body, nil
 }
 
+// readUntilStop reads a body completely. If the router ends meanwhile, it returns an error that
+// wraps ErrStopping, and the connection can't be read any more. That includes a body whose end has
+// just been read: net/http then waits for the connection's end with the same deadline, and cancels
+// the request when it passes.
+func (d *Daemon) readUntilStop(rc *http.ResponseController, body io.Reader) ([]byte, error) {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(d.attemptsCtx, func() {
+		defer close(ended)
+		d.endBodyRead(rc)
+	})
+	data, err := io.ReadAll(body)
+	if !stop() {
+		<-ended
+		return nil, ErrStopping
+	}
+	return data, err
+}
+
 // endBodyRead ends the read of a body in progress.
 func (d *Daemon) endBodyRead(rc *http.ResponseController) {
 	if err := rc.SetReadDeadline(time.Now()); err != nil {
