io/conns: bound the head of an answer

An endpoint may send bytes without end in place of an answer. The router read a status line or a header without a bound: its heap grew by gigabytes within a second, until the caller's deadline closed the connection, and interim answers were skipped without end. The request could have been served elsewhere.

The status lines and headers of an answer with all interim answers before it may now have 64 KiB together, and there may be 16 interim answers. Beyond that the attempt has failed like one whose answer is not HTTP. Bodies have had bounds of their own.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -25,6 +25,8 @@
 	// ErrStale reports that a pooled connection had been closed by the endpoint
 	// before it was used.
 	ErrStale = errors.New("pooled connection closed by the endpoint")
+	// ErrHeadTooLong reports that the head of an answer exceeds maxHeadBytes.
+	ErrHeadTooLong = errors.New("head of the answer too long")
 )
 
 const (
@@ -37,8 +39,13 @@
 	// connection is no longer used.
 	idleTimeoutMargin = 500 * time.Millisecond
 	// maxIdlePerAddr bounds the idle connections per address.
-	maxIdlePerAddr  = 32
-	readBufferBytes = 8 << 10
+	maxIdlePerAddr = 32
+	// maxHeadBytes bounds the status line and headers of an answer, including those of the
+	// interim answers before it. Up to readBufferBytes more may be read.
+	maxHeadBytes = 64 << 10
+	// maxInterimAnswers bounds the interim answers (1xx) to a request.
+	maxInterimAnswers = 16
+	readBufferBytes   = 8 << 10
 )
 
 // NoIdleLimit is a maxIdle for Get that leaves the limit to the idle timeout of each
@@ -69,8 +76,10 @@
 // the embedded net.Conn; answers must be read with Read, which buffers.
 type Conn struct {
 	net.Conn
-	r    *bufio.Reader
-	addr netip.AddrPort
+	r *bufio.Reader
+	// limit bounds what r reads from the connection.
+	limit *headLimit
+	addr  netip.AddrPort
 	// reused reports whether an earlier request has used the connection.
 	reused bool
 	// idleSince is when the last answer ended, and expiresAt when the connection may
@@ -128,7 +137,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrUnreachable, err)
 	}
-	return &Conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferBytes), addr: addr}, nil
+	limit := &headLimit{conn: raw}
+	return &Conn{Conn: raw, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, addr: addr}, nil
+}
+
+// headLimit reads from a connection. While a head is read, it fails with ErrHeadTooLong after
+// maxHeadBytes.
+type headLimit struct {
+	conn net.Conn
+	// inHead reports whether a head is read, left the number of bytes that it may still have.
+	inHead bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.inHead && l.left <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.conn.Read(p)
+	l.left -= n
+	return n, err
 }
 
 // reusable reports whether an idle connection is open and has no data to read. Data
@@ -239,10 +268,13 @@
 }
 
 // Read reads the status and header of the answer to a request with the given method;
-// the body is left unread. It skips interim answers (1xx) other than 101. It has this
-// name to hide the Read of the embedded net.Conn, which would bypass the buffer.
+// the body is left unread. It skips interim answers (1xx) other than 101. The error wraps
+// ErrHeadTooLong if there is no end of the head or of the interim answers. It has this name to
+// hide the Read of the embedded net.Conn, which would bypass the buffer.
 func (c *Conn) Read(method string) (*http.Response, error) {
-	for {
+	c.limit.inHead, c.limit.left = true, maxHeadBytes
+	defer func() { c.limit.inHead = false }()
+	for range maxInterimAnswers + 1 {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
@@ -251,6 +283,7 @@
 			return resp, nil
 		}
 	}
+	return nil, fmt.Errorf("read answer of %s: more than %d interim answers: %w", c.addr, maxInterimAnswers, ErrHeadTooLong)
 }
 
 // DiscardBody reads and discards the body of an answer. It fails if the body has
--- a/io/conns/pool_test.go
+++ b/io/conns/pool_test.go
@@ -1,9 +1,11 @@
 package conns
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -105,3 +107,50 @@
 	assert.Same(t, c, again)
 	require.NoError(t, l.Close())
 }
+
+// Guards against an answer whose head never ends and is held in memory until the request's deadline.
+func TestEndlessHead(t *testing.T) {
+	for name, more := range map[string]string{
+		"line":            "HTTP/1.1 200 " + strings.Repeat("x", 1000),
+		"interim answers": "HTTP/1.1 100 Continue\r\n\r\n",
+		"long interim":    "HTTP/1.1 100 Continue\r\nA: " + strings.Repeat("x", 10_000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, peer := connPair(t, NewPool())
+			written := make(chan int, 1)
+			go func() {
+				total := 0
+				for {
+					n, err := io.WriteString(peer, more)
+					if total += n; err != nil {
+						written <- total
+						return
+					}
+				}
+			}()
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+			_, err := c.Read("GET")
+			require.ErrorIs(t, err, ErrHeadTooLong)
+			c.Abort()
+			<-written
+		})
+	}
+}
+
+// The head of each answer on a connection may have maxHeadBytes, and a body any length.
+func TestLongHeads(t *testing.T) {
+	c, peer := connPair(t, NewPool())
+	body := strings.Repeat("b", 3*maxHeadBytes)
+	go func() {
+		for range 3 {
+			_, _ = fmt.Fprintf(peer, "HTTP/1.1 200 OK\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("a", maxHeadBytes-100), len(body), body)
+		}
+	}()
+	for range 3 {
+		resp, err := c.Read("GET")
+		require.NoError(t, err)
+		got, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		assert.Equal(t, body, string(got))
+	}
+}
