io/relayd: don't wait for the body of an answer that is not forwarded

The body of an answer that is not forwarded, as of a rejection, was read up to 1 MiB before the request was retried. A body that came slowly or without an end held the request until its deadline, though it could have been served elsewhere at once. If the read failed, the connection was nevertheless kept: after a deadline for the answer, the rest of the body would have been read as the answer to the next request (by reading; not seen).

The body now has 50 ms, and only a connection whose answer was read completely is kept.

Before, TestEndlessAnswer failed for such bodies on all four kinds of route with 504 after 1 s, and a connection whose body had not ended was kept.

--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -32,6 +32,9 @@
 	// is given up. Fewer are skipped. maxForeignBytes bounds the body of a skipped answer.
 	maxForeignAnswers = 3
 	maxForeignBytes   = 1 << 20
+	// discardTimeout bounds the time for the body of an answer that is not forwarded. The request
+	// waits meanwhile, and a new connection takes less.
+	discardTimeout = 50 * time.Millisecond
 	// nonIdempotentMaxIdle is the longest idle time of a pooled connection that is used for a request
 	// that must not run twice. The endpoint may have dropped an idle connection without
 	// notice. A request on it is then reset, and it is unknown whether it has run.
@@ -319,7 +322,7 @@
 	keep := conns.IdleTimeoutOf(resp)
 	if info.Result != "" {
 		ended.Result = info.Result
-		return keep, conns.DiscardBody(resp, maxForeignBytes)
+		return keepAfterDiscard(c, resp, keep)
 	}
 	ended.HeadReceived = true
 	if err := x.forwardAnswer(c, send, resp, info, ended); err != nil {
@@ -328,6 +331,18 @@
 	return keep, nil
 }
 
+// keepAfterDiscard discards the body of an answer that is not forwarded, and returns how long the
+// connection may be kept: keep, or zero if the body does not end within discardTimeout.
+func keepAfterDiscard(c *conns.Conn, resp *http.Response, keep conns.IdleTimeout) (conns.IdleTimeout, error) {
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return conns.IdleTimeout{}, fmt.Errorf("set deadline for the body: %w", err)
+	}
+	if err := conns.DiscardBody(resp, maxForeignBytes); err != nil {
+		return conns.IdleTimeout{}, err
+	}
+	return keep, nil
+}
+
 // reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
 // Only an answer that the endpoint has generated itself can end a limit.
 func (x *exchange) reportLimit(send relay.Send, info AnswerInfo) {
