--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -16,6 +16,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/io/conns"
+	"chervilreach/io/guard"
 )
 
 const (
@@ -32,12 +33,19 @@
 	// is given up. Fewer are skipped. maxForeignBytes bounds the body of a skipped answer.
 	maxForeignAnswers = 3
 	maxForeignBytes   = 1 << 20
+	// discardTimeout bounds the time for the body of an answer that is not forwarded. The request
+	// waits meanwhile, and a new connection takes less.
+	discardTimeout = 50 * time.Millisecond
 	// nonIdempotentMaxIdle is the longest idle time of a pooled connection that is used for a request
 	// that must not run twice. The endpoint may have dropped an idle connection without
 	// notice. A request on it is then reset, and it is unknown whether it has run.
 	nonIdempotentMaxIdle = 300 * time.Millisecond
 )
 
+// reasonCanceled is the reason of an error for a request that was canceled though its caller is
+// connected.
+const reasonCanceled relay.Reason = "canceled"
+
 var (
 	// errCallerGone means that the caller has disconnected or does not accept the answer.
 	errCallerGone = errors.New("caller gone")
@@ -64,9 +72,13 @@
 	// headerSent reports whether the status and header of an answer have been written to the
 	// caller. Another answer can't be sent then.
 	headerSent bool
+	// mayHaveRun reports whether an attempt has ended after which the request may have run.
+	mayHaveRun bool
+	// ended reports whether the outcome of the request is known.
+	ended bool
 	// lastEventID is the ID of the last stream event forwarded to the caller, or relay.NoEvent.
 	lastEventID int64
-	// weightsVersion is the version of the weights that generated the last answer; 0 if
+	// weightsVersion is the version of the weights that generated the forwarded events; 0 if
 	// unknown.
 	weightsVersion int64
 	// limitHeader is the header with the rate limit in the last answer, for the log.
@@ -95,18 +107,18 @@
 func (x *exchange) run(ctx context.Context) {
 	x.arrivedAt = time.Now()
 	x.d.addExchange(x)
-	defer x.d.removeExchange(x)
+	defer x.finish()
 	x.d.loop.Post(relay.RequestArrived{ID: x.id, Request: x.request})
 	for {
 		select {
 		case <-ctx.Done():
 			x.d.loop.Post(relay.CallerDone{ID: x.id})
-			x.logOutcome("left", "caller disconnected")
+			x.endCanceled()
 			return
 		case cmd := <-x.commands:
 			if x.callerGone(ctx) {
 				x.d.loop.Post(relay.CallerDone{ID: x.id})
-				x.logOutcome("left", "caller disconnected")
+				x.endCanceled()
 				return
 			}
 			if x.execute(ctx, cmd) {
@@ -116,6 +128,16 @@
 	}
 }
 
+// finish removes the request. It also removes it from the reducer, which still has it if the
+// handler has panicked.
+func (x *exchange) finish() {
+	x.d.removeExchange(x)
+	x.d.meters.answerTime.UpdateSince(x.arrivedAt)
+	if !x.ended {
+		x.d.loop.Post(relay.CallerDone{ID: x.id})
+	}
+}
+
 // execute executes a command of the reducer. It reports whether the request now has its
 // final answer.
 func (x *exchange) execute(ctx context.Context, cmd any) bool {
@@ -124,13 +146,12 @@
 	case relay.Send:
 		return x.attempt(ctx, cmd)
 	case relay.Refuse:
-		x.logOutcome("refused", string(cmd.Reason))
+		x.logOutcome(guard.Refused, string(cmd.Reason))
 		refuse(x.w, http.StatusServiceUnavailable, max(time.Until(cmd.RetryAt), 0), string(cmd.Reason))
 	case relay.Fail:
-		x.logOutcome("failed", string(cmd.Reason))
 		x.fail(cmd.Reason)
 	case relay.DeliverFailure:
-		x.logOutcome("endpoint-failed", "")
+		x.logOutcome(guard.EndpointFailed, "")
 		x.writeAnswer(x.failedAnswer)
 	}
 	return true
@@ -140,8 +161,9 @@
 // http.ErrAbortHandler to cut the answer off if its beginning has been sent.
 func (x *exchange) fail(reason relay.Reason) {
 	if x.headerSent {
-		panic(http.ErrAbortHandler)
+		x.cutOff(string(reason))
 	}
+	x.logOutcome(guard.Failed, string(reason))
 	status := http.StatusBadGateway
 	if reason == relay.DeadlineExceeded {
 		status = http.StatusGatewayTimeout
@@ -149,6 +171,35 @@
 	http.Error(x.w, string(reason), status)
 }
 
+// cutOff ends an answer whose beginning has been sent. It panics with http.ErrAbortHandler.
+func (x *exchange) cutOff(reason string) {
+	x.logOutcome(guard.Cut, reason)
+	panic(http.ErrAbortHandler)
+}
+
+// leave ends a request without an answer because its caller has disconnected or does not accept
+// it. It panics with http.ErrAbortHandler, because a return would send an empty answer.
+func (x *exchange) leave() {
+	x.logOutcome(guard.Left, "caller disconnected")
+	panic(http.ErrAbortHandler)
+}
+
+// endCanceled ends a request whose context is canceled. The context is canceled whenever a read of
+// the caller's connection fails. A caller that is still connected gets an error; otherwise,
+// endCanceled panics with http.ErrAbortHandler.
+func (x *exchange) endCanceled() {
+	if !x.callerConnected() {
+		x.leave()
+	}
+	x.w.Header().Set("Connection", "close")
+	if x.headerSent || x.mayHaveRun {
+		x.fail(reasonCanceled)
+		return
+	}
+	x.logOutcome(guard.Refused, string(reasonCanceled))
+	refuse(x.w, http.StatusServiceUnavailable, 0, string(reasonCanceled))
+}
+
 // attempt makes one attempt, posts its outcome to the reducer, and reports whether the
 // request has its final answer. It panics with http.ErrAbortHandler if the caller has
 // disconnected.
@@ -164,6 +215,7 @@
 	defer cancel()
 	ended := relay.AttemptEnded{ID: x.id}
 	err := x.tryEndpoint(ctx, send, &ended)
+	x.mayHaveRun = x.mayHaveRun || ended.Result == relay.Broken || ended.Result == relay.Failed
 	ended.LastEvent, ended.Version, ended.Answering = x.lastEventID, x.weightsVersion, x.headerSent
 	ended.Cut = isCut(err)
 	switch {
@@ -177,15 +229,15 @@
 	}
 	x.logAttempt(send, ended, startedAt, err)
 	x.d.loop.Post(ended)
-	if ended.Result == relay.Done || ended.Result == relay.Abandoned {
-		if ended.Result == relay.Abandoned {
-			x.logOutcome("left", "caller disconnected")
-			panic(http.ErrAbortHandler)
-		}
-		x.d.meters.recordOutcome("answered", x.arrivedAt)
-		return true
+	switch {
+	case errors.Is(err, errCallerGone):
+		x.leave()
+	case ended.Result == relay.Abandoned:
+		x.endCanceled()
+	case ended.Result == relay.Done && !x.ended:
+		x.end(guard.Answered)
 	}
-	return false
+	return ended.Result == relay.Done || ended.Result == relay.Abandoned
 }
 
 // tryEndpoint sends the request to the endpoint and forwards the answer. It sets the result
@@ -273,7 +325,7 @@
 	keep := conns.IdleTimeoutOf(resp)
 	if info.Result != "" {
 		ended.Result = info.Result
-		return keep, conns.DiscardBody(resp, maxForeignBytes)
+		return keepAfterDiscard(c, resp, keep)
 	}
 	ended.HeadReceived = true
 	if err := x.forwardAnswer(c, send, resp, info, ended); err != nil {
@@ -288,6 +340,18 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// keepAfterDiscard discards the body of an answer that is not forwarded, and returns how long the
+// connection may be kept: keep, or zero if the body does not end within discardTimeout.
+func keepAfterDiscard(c *conns.Conn, resp *http.Response, keep conns.IdleTimeout) (conns.IdleTimeout, error) {
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return conns.IdleTimeout{}, fmt.Errorf("set deadline for the body: %w", err)
+	}
+	if err := conns.DiscardBody(resp, maxForeignBytes); err != nil {
+		return conns.IdleTimeout{}, err
+	}
+	return keep, nil
+}
+
 // reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
 // Only an answer that the endpoint has generated itself can end a limit.
 func (x *exchange) reportLimit(send relay.Send, info AnswerInfo) {
@@ -342,9 +406,8 @@
 // x.failedAnswer, as the reducer decides whether to retry. An error means that the
 // connection can't be used again.
 func (x *exchange) forwardAnswer(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
-	x.weightsVersion = info.WeightsVersion
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
-		if err := x.forwardStream(c, send, resp); err != nil {
+		if err := x.forwardStream(c, send, resp, info); err != nil {
 			return err
 		}
 		ended.Result = relay.Done
@@ -392,7 +455,7 @@
 // the beginning of another answer has been sent.
 func (x *exchange) writeAnswer(a *bufferedAnswer) {
 	if x.headerSent {
-		panic(http.ErrAbortHandler)
+		x.cutOff("another answer has begun")
 	}
 	x.copyHeader(a.head)
 	if x.r.Method != http.MethodHead {
@@ -400,7 +463,7 @@
 	}
 	x.w.WriteHeader(a.head.StatusCode)
 	if _, err := (callerWriter{x}).Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		x.logOutcome("left", err.Error())
+		x.logOutcome(guard.Left, err.Error())
 	}
 }
 
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -14,6 +14,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
+	"chervilreach/io/guard"
 )
 
 // Errors that callers test with errors.Is.
@@ -75,6 +76,8 @@
 // HeaderCodec defines the headers that the platform uses in requests and answers. Its methods
 // may be called concurrently.
 type HeaderCodec interface {
+	// IDHeader returns the name of the header with RequestInfo.AttemptID.
+	IDHeader() string
 	// ParseRequest parses the headers of a caller's request. Its errors wrap ErrBadRequest.
 	ParseRequest(now time.Time, h http.Header) (RequestInfo, error)
 	// SetAttemptHeaders turns the headers of the caller's request into those of an attempt.
@@ -86,15 +89,20 @@
 }
 
 // ServeHTTP implements http.Handler. It serves a request of a caller.
-func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) { d.guard.Serve(w, r, d.serve) }
+
+// serve serves a request whose outcome is counted.
+func (d *Daemon) serve(w http.ResponseWriter, r *http.Request) {
 	d.announceClose(w.Header())
 	table := d.table.Load()
 	if table == nil || !d.endpointsKnown.Load() {
+		guard.End(w, guard.Refused)
 		refuse(w, http.StatusServiceUnavailable, startupRetryAfter, "not ready")
 		return
 	}
 	rt, ok := table.Match(hostOf(r.Host), pathOf(r.RequestURI))
 	if !ok {
+		guard.End(w, guard.Rejected)
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
@@ -118,13 +126,16 @@
 // reject answers a request that could not be read with an error.
 func (d *Daemon) reject(w http.ResponseWriter, r *http.Request, err error) {
 	d.log.Warn().Err(err).Str("path", r.URL.Path).Msg("request rejected")
+	guard.End(w, guard.Rejected)
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.Is(err, ErrOverloaded):
+		guard.End(w, guard.Refused)
 		refuse(w, http.StatusServiceUnavailable, time.Second, err.Error())
 	case errors.Is(err, ErrStopping):
+		guard.End(w, guard.Refused)
 		// Other routers serve it now.
 		refuse(w, http.StatusServiceUnavailable, 0, ErrStopping.Error())
 	default:
@@ -182,10 +193,9 @@
 	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 		return nil, fmt.Errorf("bound body: %w", err)
 	}
-	defer context.AfterFunc(d.attemptsCtx, func() { d.endBodyRead(rc) })()
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil && d.attemptsCtx.Err() != nil {
-		return nil, fmt.Errorf("read body: %w: %w", ErrStopping, err)
+	body, err := d.readUntilStop(rc, io.LimitReader(r.Body, limit+1))
+	if errors.Is(err, ErrStopping) {
+		return nil, fmt.Errorf("read body: %w", err)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("read body: %w: %w", ErrBadRequest, err)
@@ -200,6 +210,24 @@
 	return body, nil
 }
 
+// readUntilStop reads a body completely. If the router ends meanwhile, it returns an error that
+// wraps ErrStopping, and the connection can't be read any more. That includes a body whose end has
+// just been read: net/http then waits for the connection's end with the same deadline, and cancels
+// the request when it passes.
+func (d *Daemon) readUntilStop(rc *http.ResponseController, body io.Reader) ([]byte, error) {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(d.attemptsCtx, func() {
+		defer close(ended)
+		d.endBodyRead(rc)
+	})
+	data, err := io.ReadAll(body)
+	if !stop() {
+		<-ended
+		return nil, ErrStopping
+	}
+	return data, err
+}
+
 // endBodyRead ends the read of a body in progress.
 func (d *Daemon) endBodyRead(rc *http.ResponseController) {
 	if err := rc.SetReadDeadline(time.Now()); err != nil {
