core: lift the conviction of a prompt part by an operator's event

A conviction ended with its hour or by a router's objection only, also when it was wrong or the engine had been mended. Change: routers and agents take an event that lifts a conviction.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -14,7 +14,11 @@
 package poison
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +33,12 @@
 	liftedDuration = 10 * time.Minute
 )
 
+// ErrBadPart means that a text does not identify a part.
+var ErrBadPart = errors.New("part is not 16 hexadecimal digits")
+
+// ErrNotConvicted means that a part is not convicted, as far as the process knows.
+var ErrNotConvicted = errors.New("part is not convicted")
+
 // Part identifies a part of a prompt.
 type Part uint64
 
@@ -39,6 +49,19 @@
 // String returns the part as 16 hexadecimal digits.
 func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
 
+// partDigits is the number of digits of a part as text.
+const partDigits = 16
+
+// ParsePart returns the part whose String is text. Otherwise it returns an error that wraps
+// ErrBadPart.
+func ParsePart(text string) (Part, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != partDigits {
+		return 0, fmt.Errorf("%w: %q", ErrBadPart, text)
+	}
+	return Part(n), nil
+}
+
 // Suspect is a part in an unanswered request at an endpoint that crashed.
 type Suspect struct {
 	Part Part
@@ -84,6 +107,24 @@
 	return !v.DecidedAt.IsZero() && !v.Lifted && now.Before(v.ExpiresAt())
 }
 
+// InForceAt returns the convictions among the verdicts that are in force at the time now, sorted by
+// part.
+func InForceAt(now time.Time, verdicts []Verdict) []Verdict {
+	var list []Verdict
+	for _, v := range verdicts {
+		if v.InForce(now) {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b Verdict) int { return cmp.Compare(a.Part, b.Part) })
+	return list
+}
+
+// Includes reports whether one of the verdicts is on the part.
+func Includes(verdicts []Verdict, p Part) bool {
+	return slices.ContainsFunc(verdicts, func(v Verdict) bool { return v.Part == p })
+}
+
 // sameDecision is the largest difference between the times of one decision as known to several
 // processes, which learn it as an age.
 const sameDecision = time.Second
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -278,7 +278,8 @@
 // VerdictChanged reports a new verdict on a prompt part, for the log.
 type VerdictChanged struct {
 	Verdict poison.Verdict
-	// Source is the endpoint whose agent told it.
+	// Source is the endpoint whose agent told it; empty if an operator lifted the conviction at this
+	// router.
 	Source string
 }
 
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"chervilreach/core/poison"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
 )
@@ -274,3 +275,11 @@
 
 // Kind implements event.Event.
 func (SettingsChanged) Kind() string { return "relay-configured" }
+
+// PartAcquitted reports that an operator lifts the conviction of a prompt part.
+type PartAcquitted struct {
+	Part poison.Part
+}
+
+// Kind implements event.Event.
+func (PartAcquitted) Kind() string { return "relay-part-acquitted" }
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -283,15 +283,32 @@
 	if !changed {
 		return
 	}
-	for _, other := range s.endpoints {
-		if other.hasAgent {
-			s.spreadVerdicts(other)
-		}
-	}
+	s.spreadVerdictsToAll()
 	s.abortConvicted()
 	s.dispatchWaiting()
 }
 
+// spreadVerdictsToAll tells each connected agent the verdicts that its last report lacks.
+func (s *State) spreadVerdictsToAll() {
+	for _, e := range s.endpoints {
+		if e.hasAgent {
+			s.spreadVerdicts(e)
+		}
+	}
+}
+
+// handlePartAcquitted lifts a conviction, at all processes in the end. The evidence from before
+// counts no more.
+func (s *State) handlePartAcquitted(ev PartAcquitted) {
+	if !s.poison.verdicts[ev.Part].InForce(s.now) {
+		return
+	}
+	v := poison.Verdict{Part: ev.Part, DecidedAt: s.now, Lifted: true}
+	s.poison.verdicts[ev.Part] = v
+	s.emit(VerdictChanged{Verdict: v})
+	s.spreadVerdictsToAll()
+}
+
 // abortConvicted aborts the attempts of requests with convicted parts that have no answer yet.
 func (s *State) abortConvicted() {
 	for _, r := range s.sortedRequests() {
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -153,6 +153,8 @@
 		s.handleInstanceChanged(ev)
 	case AgentLost:
 		s.handleAgentLost(ev)
+	case PartAcquitted:
+		s.handlePartAcquitted(ev)
 	case RoutesAdopted:
 		s.table = ev.Table
 	case ShutdownStarted:
--- a/core/swap/poison.go
+++ b/core/swap/poison.go
@@ -29,6 +29,14 @@
 // Kind implements event.Event.
 func (VerdictsReported) Kind() string { return "swap-verdicts" }
 
+// PartAcquitted reports that an operator lifts the conviction of a prompt part.
+type PartAcquitted struct {
+	Part poison.Part
+}
+
+// Kind implements event.Event.
+func (PartAcquitted) Kind() string { return "swap-part-acquitted" }
+
 // PartConvicted reports a new conviction, for the log.
 type PartConvicted struct {
 	Verdict poison.Verdict
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -142,6 +142,8 @@
 		}
 	case PartsAnswered:
 		s.judge.Clear(s.now, ev.Parts)
+	case PartAcquitted:
+		s.judge.Clear(s.now, []poison.Part{ev.Part})
 	case VerdictsReported:
 		for _, v := range ev.Verdicts {
 			s.judge.AddVerdict(v)
