cmds: lift the conviction of a prompt part with acquit

One that has the conviction is enough, as the lift spreads. A part that is not convicted is 404, one that is not 16 hexadecimal digits 422, and an error with exit code 2 for the command.

--- a/cmds/completion_test.go
+++ b/cmds/completion_test.go
@@ -14,6 +14,7 @@
 		want []string
 	}{
 		"command":      {args: []string{"timel"}, want: []string{"timeline"}},
+		"acquit":       {args: []string{"acq"}, want: []string{"acquit"}},
 		"option":       {args: []string{"timeline", "--rec"}, want: []string{"--record"}},
 		"two options":  {args: []string{"timeline", "--re"}, want: []string{"--record", "--request"}},
 		"no such name": {args: []string{"nothing-like-this"}},
--- a/cmds/timeline_test.go
+++ b/cmds/timeline_test.go
@@ -152,12 +152,16 @@
 		args []string
 		want int
 	}{
-		"no process":     {args: []string{"status"}, want: ExitUsage},
-		"host name":      {args: []string{"status", "--process", "localhost:80"}, want: ExitUsage},
-		"no wait":        {args: []string{"status", "--process", "127.0.0.1:1", "--wait", "0s"}, want: ExitUsage},
-		"bad time":       {args: []string{"timeline", "--process", "127.0.0.1:1", "--since", "noon"}, want: ExitUsage},
-		"negative limit": {args: []string{"timeline", "--process", "127.0.0.1:1", "--limit=-1"}, want: ExitUsage},
-		"no host list":   {args: []string{"status", "--hosts", "127.0.0.1:1"}, want: ExitFailed},
+		"no process":       {args: []string{"status"}, want: ExitUsage},
+		"host name":        {args: []string{"status", "--process", "localhost:80"}, want: ExitUsage},
+		"no wait":          {args: []string{"status", "--process", "127.0.0.1:1", "--wait", "0s"}, want: ExitUsage},
+		"bad time":         {args: []string{"timeline", "--process", "127.0.0.1:1", "--since", "noon"}, want: ExitUsage},
+		"negative limit":   {args: []string{"timeline", "--process", "127.0.0.1:1", "--limit=-1"}, want: ExitUsage},
+		"no part":          {args: []string{"acquit", "--process", "127.0.0.1:1"}, want: ExitUsage},
+		"bad part":         {args: []string{"acquit", "deadly", "--process", "127.0.0.1:1"}, want: ExitUsage},
+		"part, no process": {args: []string{"acquit", "0123456789abcdef"}, want: ExitUsage},
+		"part, no answer":  {args: []string{"acquit", "0123456789abcdef", "--process", "127.0.0.1:1"}, want: ExitFailed},
+		"no host list":     {args: []string{"status", "--hosts", "127.0.0.1:1"}, want: ExitFailed},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"chervilreach/core/event"
 	"chervilreach/core/fleet"
+	"chervilreach/core/poison"
 	"chervilreach/io/line"
 
 	"github.com/danielgtaylor/huma/v2"
@@ -31,6 +33,8 @@
 	PathStatus      = "/status"
 	PathTimeline    = "/timeline"
 	PathRecord      = "/record"
+	// PathAcquit lifts the conviction of a prompt part; the method is POST.
+	PathAcquit = "/acquit"
 )
 
 // Source provides the health and the status of the process. Its methods are called
@@ -46,11 +50,21 @@
 	Status() Status
 }
 
-// HandlerConfig contains what Handler serves. All fields are required.
+// Acquitter is a process that keeps convictions of prompt parts which crash endpoints. Its
+// methods are called concurrently.
+type Acquitter interface {
+	// Acquit lifts the conviction of a part at all processes. It returns an error that wraps
+	// poison.ErrNotConvicted if the process knows of none.
+	Acquit(part poison.Part) error
+}
+
+// HandlerConfig contains what Handler serves. All fields but Acquitter are required.
 type HandlerConfig struct {
 	Source   Source
 	Recorder *line.Recorder
 	Metrics  metrics.Registry
+	// Acquitter lifts convictions; nil if the process keeps none.
+	Acquitter Acquitter
 }
 
 // Handler returns the handler of the administration address. See the Path constants for
@@ -71,6 +85,9 @@
 	huma.Get(api, PathStatus, h.status)
 	huma.Get(api, PathTimeline, h.timeline)
 	huma.Get(api, PathRecord, h.record)
+	if config.Acquitter != nil {
+		huma.Post(api, PathAcquit, h.acquit)
+	}
 	return mux
 }
 
@@ -214,3 +231,20 @@
 		}
 	}}, nil
 }
+
+type acquitInput struct {
+	Part string `query:"part" required:"true" doc:"prompt part as 16 hexadecimal digits"`
+}
+
+// acquit lifts the conviction of a prompt part. The response is 404 if it is not convicted.
+func (h *handler) acquit(_ context.Context, in *acquitInput) (*checkOutput, error) {
+	part, err := poison.ParsePart(in.Part)
+	if err != nil {
+		return nil, huma.Error422UnprocessableEntity(err.Error())
+	}
+	err = h.Acquitter.Acquit(part)
+	if errors.Is(err, poison.ErrNotConvicted) {
+		return nil, huma.Error404NotFound(err.Error())
+	}
+	return h.check(err)
+}
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -15,6 +15,7 @@
 
 	"chervilreach/core/event"
 	"chervilreach/core/fleet"
+	"chervilreach/core/poison"
 	"chervilreach/io/line"
 )
 
@@ -31,6 +32,9 @@
 // ErrNoAnswer means that a process could not be reached or did not respond.
 var ErrNoAnswer = errors.New("no answer")
 
+// errNotFound means that a process does not have what was requested.
+var errNotFound = errors.New("not found")
+
 // Target is a process with an administration address.
 type Target struct {
 	// Name is the ID of the host in the platform's list; it is empty if only the address
@@ -108,6 +112,23 @@
 	return status, nil
 }
 
+// Acquit lifts the conviction of a prompt part. It returns an error that wraps
+// poison.ErrNotConvicted if the process knows of none.
+func (c *Client) Acquit(ctx context.Context, t Target, part poison.Part) error {
+	path := PathAcquit + "?" + url.Values{"part": {part.String()}}.Encode()
+	response, err := c.send(ctx, http.MethodPost, t.Admin, path)
+	if errors.Is(err, errNotFound) {
+		err = poison.ErrNotConvicted
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", t, err)
+	}
+	if err := response.Body.Close(); err != nil {
+		return fmt.Errorf("%s: close answer: %w", t, err)
+	}
+	return nil
+}
+
 // Timeline contains the lines of the timeline that one process returned.
 type Timeline struct {
 	Process fleet.ProcessID
@@ -186,7 +207,13 @@
 // get requests a path and returns the response if its status is 200, otherwise an error.
 // The caller must close the body.
 func (c *Client) get(ctx context.Context, addr netip.AddrPort, path string) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, nil)
+	return c.send(ctx, http.MethodGet, addr, path)
+}
+
+// send sends a request without a body and returns the response if its status is 200, otherwise an
+// error. The caller must close the body.
+func (c *Client) send(ctx context.Context, method string, addr netip.AddrPort, path string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
@@ -197,7 +224,11 @@
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
 		body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-		return nil, fmt.Errorf("GET %s: status %d: %s", path, response.StatusCode, body)
+		err := fmt.Errorf("%s %s: status %d: %s", method, path, response.StatusCode, body)
+		if response.StatusCode == http.StatusNotFound {
+			err = fmt.Errorf("%w: %w", errNotFound, err)
+		}
+		return nil, err
 	}
 	return response, nil
 }
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -160,7 +160,7 @@
 		return err
 	}
 	r.startedAt = time.Now()
-	r.adminServer = serveAdmin(l, admin.HandlerConfig{Source: r, Recorder: r.recorder, Metrics: r.registry})
+	r.adminServer = serveAdmin(l, admin.HandlerConfig{Source: r, Recorder: r.recorder, Metrics: r.registry, Acquitter: r.daemon})
 	go r.daemon.Run(ctx)
 	go r.mirror.Run(ctx)
 	r.log.Info().Stringer("callers", r.cfg.Callers.Listen).Msg("started")
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	s.startedAt = time.Now()
-	s.adminServer = serveAdmin(adminListener, admin.HandlerConfig{Source: s, Recorder: s.recorder, Metrics: s.registry})
+	s.adminServer = serveAdmin(adminListener, admin.HandlerConfig{Source: s, Recorder: s.recorder, Metrics: s.registry, Acquitter: s.daemon})
 	go s.daemon.Run(ctx)
 	go s.acquireFencingToken(ctx)
 	go s.mirror.Run(ctx)
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/event"
+	"chervilreach/core/poison"
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/io/conns"
@@ -70,6 +71,8 @@
 	lastID relay.RequestID
 	// exchanges holds the requests in progress.
 	exchanges map[relay.RequestID]*exchange
+	// convictions has the convictions of prompt parts that the reducer has adopted, by part.
+	convictions map[poison.Part]poison.Verdict
 
 	// attemptsCtx is canceled by cancelAttempts, which aborts all attempts in progress.
 	attemptsCtx    context.Context
@@ -81,6 +84,7 @@
 	d := &Daemon{
 		opts: opts, log: opts.Log, pool: conns.NewPool(),
 		exchanges: make(map[relay.RequestID]*exchange), meters: newMeters(opts.Metrics),
+		convictions: make(map[poison.Part]poison.Verdict),
 	}
 	d.guard = guard.Guard{Log: opts.Log, Metrics: d.meters.registry, Prefix: metricRequests}
 	if opts.HeaderCodec != nil {
--- a/io/relayd/poison.go
+++ b/io/relayd/poison.go
@@ -1,6 +1,8 @@
 package relayd
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -27,12 +29,42 @@
 	case relay.EndpointCrashed:
 		x.d.logCrash(eff)
 	case relay.VerdictChanged:
+		x.d.noteVerdict(eff.Verdict)
 		x.d.logVerdict(eff)
 	case relay.PartRefused:
 		x.d.logPartRefused(eff)
 	}
 }
 
+// noteVerdict updates the copy of the reducer's convictions.
+func (d *Daemon) noteVerdict(v poison.Verdict) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.convictions, func(_ poison.Part, old poison.Verdict) bool { return !old.InForce(now) })
+	delete(d.convictions, v.Part)
+	if v.InForce(now) {
+		d.convictions[v.Part] = v
+	}
+}
+
+// Convictions returns the convictions of prompt parts in force, sorted by part.
+func (d *Daemon) Convictions() []poison.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return poison.InForceAt(time.Now(), slices.Collect(maps.Values(d.convictions)))
+}
+
+// Acquit lifts the conviction of a prompt part, here at once and at the other processes soon. It
+// returns poison.ErrNotConvicted if the router knows of none.
+func (d *Daemon) Acquit(part poison.Part) error {
+	if !poison.Includes(d.Convictions(), part) {
+		return poison.ErrNotConvicted
+	}
+	d.loop.Post(relay.PartAcquitted{Part: part})
+	return nil
+}
+
 // tell sends a frame to the agent of an endpoint, which does not answer. what describes the frame
 // in the log.
 func (a *agentConns) tell(instance, what string, f *wirepb.Frame) {
--- a/io/swapd/poison.go
+++ b/io/swapd/poison.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilreach/core/event"
+	"chervilreach/core/poison"
 	"chervilreach/core/swap"
 	"chervilreach/io/wire"
 	"chervilreach/io/wire/wirepb"
@@ -23,3 +24,22 @@
 	}
 	return nil
 }
+
+// Convictions returns the convictions of prompt parts in force as of the last report, sorted by
+// part.
+func (d *Daemon) Convictions() []poison.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return poison.InForceAt(time.Now(), d.latestReport.Verdicts)
+}
+
+// Acquit lifts the conviction of a prompt part, here at once and at the other processes soon. It
+// returns poison.ErrNotConvicted if the agent knows of none.
+func (d *Daemon) Acquit(part poison.Part) error {
+	if !poison.Includes(d.Convictions(), part) {
+		return poison.ErrNotConvicted
+	}
+	d.log.Warn().Stringer("part", part).Msg("prompt part acquitted by operator")
+	d.loop.Post(swap.PartAcquitted{Part: part})
+	return nil
+}
