io/reqlog: explain refusals for prompt parts and crashes behind broken attempts

explain showed that a request was refused for a prompt part, but not the verdict and the crashes before it, and of a broken attempt not the crash of the endpoint, which a router finds after the request has ended. Change: the lines of a request include the crashes of endpoints within 5 s after its broken attempts, and for a refusal the verdict, at its judge and at the request's router, with the crashes of the two minutes before it.

--- a/io/reqlog/reqlog.go
+++ b/io/reqlog/reqlog.go
@@ -28,6 +28,24 @@
 	// contextBefore is the period before the start of a request from which lines about loads,
 	// endpoints and dependencies are included. A load takes some seconds.
 	contextBefore = 5 * time.Second
+	// crashConfirmTime is how long after the end of an attempt a router may find that the endpoint
+	// has crashed.
+	crashConfirmTime = 5 * time.Second
+	// evidenceTime is how long a crash counts for the conviction of a prompt part.
+	evidenceTime = 2 * time.Minute
+	// verdictSlack is the largest difference between the times of one verdict at two processes.
+	verdictSlack = time.Second
+)
+
+// Messages of lines that are selected by more than their endpoint or process.
+const (
+	messageOrder     = "order"
+	messageCrash     = "endpoint crashed"
+	messageVerdict   = "verdict on prompt part changed"
+	messageConvicted = "prompt part convicted"
+	messageAcquitted = "prompt part acquitted by operator"
+	// outcomeBroken is the outcome of an attempt whose endpoint may have crashed.
+	outcomeBroken = "broken"
 )
 
 // Line is one line of a log.
@@ -96,9 +114,11 @@
 	return value
 }
 
-// ForRequest returns the lines that concern a request, sorted by time: those with its ID, and
-// those about the loads, endpoints and dependencies on which its routing depended. It returns
-// an error that wraps ErrUnknownRequest if no line has the ID.
+// ForRequest returns the lines that concern a request, sorted by time: those with its ID, those
+// about the loads, endpoints and dependencies on which its routing depended, the crashes of
+// endpoints that broke its attempts, and the verdict on a prompt part for which it was refused
+// with the crashes before it. It returns an error that wraps ErrUnknownRequest if no line has the
+// ID.
 func ForRequest(lines []Line, requestID string) ([]Line, error) {
 	ownLines := lo.Filter(lines, func(l Line, _ int) bool { return l.Fields["request"] == requestID })
 	if len(ownLines) == 0 {
@@ -107,8 +127,9 @@
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(ownLines, byTime)
 	s := scope{
-		from: ownLines[0].Time.Add(-contextBefore - duration(ownLines[0])), until: ownLines[len(ownLines)-1].Time,
-		models: make(map[string]bool), endpoints: make(map[string]bool), processes: make(map[string]bool),
+		from:  ownLines[0].Time.Add(-contextBefore - millis(ownLines[0], "took-ms")),
+		until: ownLines[len(ownLines)-1].Time, models: make(map[string]bool), endpoints: make(map[string]bool),
+		processes: make(map[string]bool), brokenAt: make(map[string]time.Time), decidedAt: make(map[string]time.Time),
 	}
 	for _, l := range ownLines {
 		s.add(l)
@@ -118,9 +139,9 @@
 	return selected, nil
 }
 
-// duration returns the value of the field took-ms of a line; 0 if there is none.
-func duration(l Line) time.Duration {
-	d, err := time.ParseDuration(l.Fields["took-ms"] + "ms")
+// millis returns the value of a field in milliseconds; 0 if there is none.
+func millis(l Line, field string) time.Duration {
+	d, err := time.ParseDuration(l.Fields[field] + "ms")
 	if err != nil {
 		return 0
 	}
@@ -132,11 +153,22 @@
 	// from is earlier than the start of the request by contextBefore.
 	from, until                  time.Time
 	models, endpoints, processes map[string]bool
+	// brokenAt has the end of the last broken attempt at each endpoint.
+	brokenAt map[string]time.Time
+	// decidedAt has the time of the verdict on each prompt part for which the request was refused.
+	decidedAt map[string]time.Time
 }
 
-// add adds the process, the model and the endpoint of one of the request's own lines.
+// add adds the process, the model, the endpoint and the prompt part of one of the request's own
+// lines.
 func (s *scope) add(l Line) {
 	s.processes[l.Process] = true
+	if l.Fields["outcome"] == outcomeBroken {
+		s.brokenAt[l.Fields["endpoint"]] = l.Time
+	}
+	if part := l.Fields["part"]; part != "" {
+		s.decidedAt[part] = l.Time.Add(-millis(l, "verdict-age-ms"))
+	}
 	if m := l.Fields["model"]; m != "" {
 		s.models[m] = true
 	}
@@ -146,14 +178,21 @@
 }
 
 // covers reports whether a line that belongs to no request may concern the request: an order
-// if it is for one of the models or endpoints, another line if it names one of the endpoints
-// or, without an endpoint, if it is from one of the processes.
+// if it is for one of the models or endpoints, a crash or a verdict as coversCrash and
+// coversVerdict say, another line if it names one of the endpoints or, without an endpoint, if it
+// is from one of the processes.
 func (s *scope) covers(l Line) bool {
-	if l.Fields["request"] != "" || l.Time.Before(s.from) || l.Time.After(s.until) {
+	if l.Fields["request"] != "" {
+		return false
+	}
+	if s.coversCrash(l) || s.coversVerdict(l) {
+		return true
+	}
+	if l.Time.Before(s.from) || l.Time.After(s.until) {
 		return false
 	}
 	switch {
-	case l.Message == "order":
+	case l.Message == messageOrder:
 		return s.models[l.Fields["model"]] || s.endpoints[l.Fields["endpoint"]]
 	case l.Fields["endpoint"] != "":
 		return s.endpoints[l.Fields["endpoint"]]
@@ -162,6 +201,42 @@
 	}
 }
 
+// coversCrash reports whether a line is about a crash that broke an attempt, or on which a verdict
+// on the request may be based.
+func (s *scope) coversCrash(l Line) bool {
+	if l.Message != messageCrash {
+		return false
+	}
+	brokenAt, ok := s.brokenAt[l.Fields["endpoint"]]
+	if ok && l.Time.After(s.from) && l.Time.Before(brokenAt.Add(crashConfirmTime)) {
+		return true
+	}
+	for part, decidedAt := range s.decidedAt {
+		from, until := decidedAt.Add(-evidenceTime), decidedAt.Add(verdictSlack)
+		if strings.Contains(l.Fields["suspects"], part) && l.Time.After(from) && l.Time.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// coversVerdict reports whether a line is about a verdict for which the request was refused: at the
+// judge, or at one of the request's processes.
+func (s *scope) coversVerdict(l Line) bool {
+	decidedAt, ok := s.decidedAt[l.Fields["part"]]
+	if !ok || l.Time.Before(decidedAt.Add(-verdictSlack)) || l.Time.After(s.until) {
+		return false
+	}
+	switch l.Message {
+	case messageVerdict:
+		return s.processes[l.Process]
+	case messageConvicted, messageAcquitted:
+		return true
+	default:
+		return false
+	}
+}
+
 // Write writes log lines as text, one line each, with the time since the first one.
 func Write(w io.Writer, lines []Line) error {
 	for _, l := range lines {
