io/admin: show convicted prompt parts in status, count those in force

Which parts are refused could be read from logs only. Routers and agents on the platform now report each convicted part with the number of crashes, its age and its end in /status, and their number as relay.convictions-in-force and swap.convictions-in-force; the status command puts them together by part. Tests: TestConvictionsAreListedAndLifted (both daemons), TestSummarizeConvictedParts, TestStatusCommand.

--- a/cmds/status.go
+++ b/cmds/status.go
@@ -22,9 +22,10 @@
 	JSON bool `long:"json" description:"print JSON"`
 }
 
-const statusLong = `Shows which accepted revision is in effect at each process, and which models are
-warm, cold or loading, at which endpoints and why. Exits with 1 if a process did
-not answer; the answers of the others are shown nevertheless.`
+const statusLong = `Shows which accepted revision is in effect at each process, for which prompt parts
+requests are refused, and which models are warm, cold or loading, at which
+endpoints and why. Exits with 1 if a process did not answer; the answers of the
+others are shown nevertheless.`
 
 func init() {
 	register("status", "show the state of all processes and models", statusLong, &statusCommand{})
@@ -71,6 +72,7 @@
 		fmt.Fprintf(&b, "%s\t%s\t%s\t%d\t%s\t%s\n",
 			p.Status.Process, role, p.Status.Domain, p.Status.Revision, processState(p.Status), detail)
 	}
+	writeConvictedParts(&b, s.ConvictedParts)
 	fmt.Fprintln(&b, "\nMODEL\tWARM\tLOADING\tWAITING\tUNLOADING\tDOUBTFUL\tCOLD\tWHERE AND WHY")
 	for _, m := range s.Models {
 		writeModelRows(&b, m)
@@ -103,6 +105,18 @@
 	}
 }
 
+// writeConvictedParts writes a table of the convicted prompt parts; nothing if there are none.
+func writeConvictedParts(b *strings.Builder, list []admin.ConvictionSummary) {
+	if len(list) == 0 {
+		return
+	}
+	fmt.Fprintln(b, "\nCONVICTED PART\tCRASHES\tAGE\tUNTIL\tPROCESSES")
+	for _, p := range list {
+		age := (time.Duration(p.AgeMs) * time.Millisecond).Round(time.Second)
+		fmt.Fprintf(b, "%s\t%d\t%s\t%s\t%v\n", p.Part, p.CrashCount, age, p.Until.UTC().Format(statusTimeLayout), p.Processes)
+	}
+}
+
 // processState returns the text for whether a process is draining.
 func processState(s *admin.Status) string {
 	state := "serving"
--- a/cmds/timeline_test.go
+++ b/cmds/timeline_test.go
@@ -29,7 +29,9 @@
 	return admin.Status{Process: "agent-1", Revision: 5, Agent: &admin.AgentStatus{
 		Endpoint: "e-1",
 		Models:   []admin.ModelStatus{{Model: "m@1", State: fleet.LoadStateLoading, Why: "3 requests wait"}},
-	}}
+	}, ConvictedParts: []admin.ConvictedPart{{
+		Part: "00000000000000a1", CrashCount: 3, AgeMs: 90_000, Until: time.Date(2026, 1, 31, 9, 0, 0, 0, time.UTC),
+	}}}
 }
 
 // listen serves the handler on loopback and returns the address.
@@ -136,6 +138,7 @@
 	require.ErrorIs(t, c.run(t.Context(), &out), errUnanswered)
 	require.Contains(t, out.String(), "accepted revision 5 in force at 1 of 1 processes that answered\n")
 	require.Regexp(t, `h-2 +- +- +- +no answer`, out.String())
+	require.Regexp(t, `00000000000000a1 +3 +1m30s +2026-01-31 09:00:00 +\[agent-1\]`, out.String())
 	require.Regexp(t, `m@1 +0 +1 +0 +0 +0 +0 +e-1 loading since \d{4}-\d\d-\d\d \d\d:\d\d:\d\d: 3 requests wait`, out.String())
 
 	c.JSON = true
--- a/io/admin/client_test.go
+++ b/io/admin/client_test.go
@@ -117,6 +117,24 @@
 	})
 }
 
+// TestSummarizeConvictedParts checks that the latest conviction of each part is shown, with all
+// processes that have one.
+func TestSummarizeConvictedParts(t *testing.T) {
+	until := time.UnixMilli(1_000_000).UTC()
+	part := func(name string, crashes int, ageMs int64) admin.ConvictedPart {
+		return admin.ConvictedPart{Part: name, CrashCount: crashes, AgeMs: ageMs, Until: until}
+	}
+	s := admin.Summarize([]admin.Answer[admin.Status]{
+		{Value: admin.Status{Process: "router", ConvictedParts: []admin.ConvictedPart{part("0b", 3, 500)}}},
+		{Value: admin.Status{Process: "agent", ConvictedParts: []admin.ConvictedPart{part("0a", 3, 900), part("0b", 1, 400)}}},
+		{Value: admin.Status{Process: "new"}},
+	})
+	require.Equal(t, []admin.ConvictionSummary{
+		{ConvictedPart: part("0a", 3, 900), Processes: []fleet.ProcessID{"agent"}},
+		{ConvictedPart: part("0b", 1, 400), Processes: []fleet.ProcessID{"router", "agent"}},
+	}, s.ConvictedParts)
+}
+
 // TestSummarize checks the number of endpoints with a model by state. The report of an
 // endpoint's own agent takes precedence over those of routers, and of these the latest counts.
 func TestSummarize(t *testing.T) {
--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"chervilreach/core/fleet"
+	"chervilreach/core/poison"
 )
 
 // Status is the state of a process as it reports it. Router is set for a router and a
@@ -18,8 +21,31 @@
 	Draining bool           `json:"draining,omitempty"`
 	// RecordErrors contains the configuration records whose latest version is not in effect.
 	RecordErrors []RecordError `json:"record-errors,omitempty"`
-	Router       *RouterStatus `json:"router,omitempty"`
-	Agent        *AgentStatus  `json:"agent,omitempty"`
+	// ConvictedParts are the prompt parts for which requests are refused, sorted by part.
+	ConvictedParts []ConvictedPart `json:"convicted-parts,omitempty"`
+	Router         *RouterStatus   `json:"router,omitempty"`
+	Agent          *AgentStatus    `json:"agent,omitempty"`
+}
+
+// ConvictedPart is a prompt part that crashes endpoints.
+type ConvictedPart struct {
+	// Part is the text of a poison.Part.
+	Part string `json:"part"`
+	// CrashCount is the number of crashes on which the conviction is based.
+	CrashCount int `json:"crashes"`
+	// AgeMs is the age of the conviction in milliseconds.
+	AgeMs int64 `json:"age-ms"`
+	// Until is the end of the conviction by the clock of the process.
+	Until time.Time `json:"until"`
+}
+
+// ConvictedParts returns the status of convictions.
+func ConvictedParts(now time.Time, convictions []poison.Verdict) []ConvictedPart {
+	return lo.Map(convictions, func(v poison.Verdict, _ int) ConvictedPart {
+		return ConvictedPart{
+			Part: v.Part.String(), CrashCount: v.CrashCount, AgeMs: now.Sub(v.DecidedAt).Milliseconds(), Until: v.ExpiresAt(),
+		}
+	})
 }
 
 // RecordError is a configuration record that was rejected. The version that was accepted before, if
--- a/io/admin/summary.go
+++ b/io/admin/summary.go
@@ -15,7 +15,9 @@
 	Processes    []ProcessSummary  `json:"processes"`
 	Revisions    []RevisionSummary `json:"accepted-revisions"`
 	RecordErrors []RecordError     `json:"record-errors"`
-	Models       []ModelSummary    `json:"models"`
+	// ConvictedParts are the convictions of prompt parts, sorted by part.
+	ConvictedParts []ConvictionSummary `json:"convicted-parts"`
+	Models         []ModelSummary      `json:"models"`
 }
 
 // ProcessSummary is the status of one process, or the error of the request for it.
@@ -31,6 +33,13 @@
 	Processes []fleet.ProcessID `json:"processes"`
 }
 
+// ConvictionSummary is the latest conviction of a prompt part, with the processes that have the part
+// as convicted.
+type ConvictionSummary struct {
+	ConvictedPart
+	Processes []fleet.ProcessID `json:"processes"`
+}
+
 // ModelSummary contains the state of a model on each endpoint, and the number of
 // endpoints by state.
 type ModelSummary struct {
@@ -101,6 +110,7 @@
 	}
 	s.Revisions = revisionSummaries(statuses)
 	s.RecordErrors = recordErrors(statuses)
+	s.ConvictedParts = convictionSummaries(statuses)
 	s.Models = modelSummaries(latestReports(statuses))
 	return s
 }
@@ -134,6 +144,29 @@
 	return slices.Compact(list)
 }
 
+// convictionSummaries returns the latest conviction of each part.
+func convictionSummaries(statuses []Status) []ConvictionSummary {
+	byPart := make(map[string]*ConvictionSummary)
+	for _, status := range statuses {
+		for _, p := range status.ConvictedParts {
+			sum, ok := byPart[p.Part]
+			if !ok {
+				sum = &ConvictionSummary{ConvictedPart: p}
+				byPart[p.Part] = sum
+			}
+			if p.AgeMs < sum.AgeMs {
+				sum.ConvictedPart = p
+			}
+			sum.Processes = append(sum.Processes, status.Process)
+		}
+	}
+	list := make([]ConvictionSummary, 0, len(byPart))
+	for _, part := range slices.Sorted(maps.Keys(byPart)) {
+		list = append(list, *byPart[part])
+	}
+	return list
+}
+
 // endpointReport is the state of an endpoint as one process reports it.
 type endpointReport struct {
 	source      fleet.ProcessID
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -228,7 +228,8 @@
 	return admin.Status{
 		Process: r.cfg.Process.ID, Domain: r.cfg.Process.FailureDomain, Started: r.startedAt,
 		Revision: fleet.Revision(r.daemon.RoutesVersion()), Draining: r.daemon.ShuttingDown(),
-		Router: &admin.RouterStatus{CallsInProgress: r.daemon.RequestsInProgress()},
+		ConvictedParts: admin.ConvictedParts(time.Now(), r.daemon.Convictions()),
+		Router:         &admin.RouterStatus{CallsInProgress: r.daemon.RequestsInProgress()},
 	}
 }
 
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -92,7 +92,7 @@
 		OnChange: s.onStoreChange,
 	})
 	s.daemon = swapd.New(swapd.Options{
-		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder,
+		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder, Metrics: s.registry,
 		OnStaleRoutes: s.onStaleRoutes,
 	})
 	return s
@@ -185,7 +185,8 @@
 func (s *Swap) Status() admin.Status {
 	return admin.Status{
 		Process: s.cfg.Process.ID, Domain: s.cfg.Process.FailureDomain, Started: s.startedAt,
-		Revision: fleet.Revision(s.daemon.RoutesVersion()),
+		Revision:       fleet.Revision(s.daemon.RoutesVersion()),
+		ConvictedParts: admin.ConvictedParts(time.Now(), s.daemon.Convictions()),
 	}
 }
 
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -93,6 +93,7 @@
 	d.attemptsCtx, d.cancelAttempts = context.WithCancel(context.Background())
 	d.loop = loop.New(relay.New(opts.Settings), opts.Recorder)
 	d.agents = newAgentConns(d)
+	metrics.NewRegisteredFunctionalGauge(metricConvictions, d.meters.registry, func() int64 { return int64(len(d.Convictions())) })
 	return d
 }
 
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -17,6 +17,7 @@
 	metricInFlight       = "relay.requests-in-progress"
 	metricLimits         = "relay.limits-in-force"
 	metricLimitChanges   = "relay.limit-changes"
+	metricConvictions    = "relay.convictions-in-force"
 )
 
 // meters holds the metrics of a router's requests.
--- a/io/relayd/poison_test.go
+++ b/io/relayd/poison_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -46,6 +47,9 @@
 	)}})
 	require.Eventually(t, func() bool { return len(d.Convictions()) == 2 }, awaitTime, awaitInterval)
 	assert.Equal(t, valid, d.Convictions())
+	gauge, ok := d.meters.registry.Get(metricConvictions).(metrics.Gauge)
+	require.True(t, ok)
+	assert.Equal(t, int64(2), gauge.Value())
 
 	require.ErrorIs(t, d.Acquit(9), poison.ErrNotConvicted)
 	require.ErrorIs(t, d.Acquit(3), poison.ErrNotConvicted, "expired")
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/event"
@@ -33,6 +34,9 @@
 	demandTimeout = time.Minute
 )
 
+// metricConvictions is the name of the gauge of convicted prompt parts.
+const metricConvictions = "swap.convictions-in-force"
+
 // Endpoint is a client of the agent's endpoint. Its methods may be called concurrently.
 type Endpoint interface {
 	// Identify returns the instance name of the endpoint. A restart may change it.
@@ -45,12 +49,14 @@
 	SendOrder(ctx context.Context, o swap.Order) (swap.Answer, error)
 }
 
-// Options configures a daemon. All fields are required.
+// Options configures a daemon. All fields are required unless stated otherwise.
 type Options struct {
 	Endpoint Endpoint
 	Log      zerolog.Logger
 	Recorder loop.Recorder
 	Clock    *event.Clock
+	// Metrics is the registry for the daemon's metrics; nil discards them.
+	Metrics metrics.Registry
 	// OnStaleRoutes is called with a router's version of the routes if it is newer than the
 	// agent's. It is called for each demand from such a router.
 	OnStaleRoutes func(version int64)
@@ -85,10 +91,14 @@
 
 // New returns a daemon. Run must be called to start it.
 func New(opts Options) *Daemon {
-	return &Daemon{
+	d := &Daemon{
 		opts: opts, log: opts.Log, loop: loop.New(swap.New(), opts.Recorder),
 		reportQueues: make(map[uint64]chan stock.Report), permitAsks: make(map[uint64]chan swap.PermitAnswered),
 	}
+	if opts.Metrics != nil {
+		metrics.NewRegisteredFunctionalGauge(metricConvictions, opts.Metrics, func() int64 { return int64(len(d.Convictions())) })
+	}
+	return d
 }
 
 // Run executes effects until ctx is canceled. Routers are served by the Listen method of
--- a/io/swapd/poison_test.go
+++ b/io/swapd/poison_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -32,8 +33,9 @@
 func TestConvictionsAreListedAndLifted(t *testing.T) {
 	t.Parallel()
 	clock := &event.Clock{}
+	registry := metrics.NewRegistry()
 	d := New(Options{
-		Endpoint: idleEndpoint{}, Log: zerolog.Nop(), Clock: clock, Recorder: line.New("a", clock, line.DefaultLimits()),
+		Metrics: registry, Endpoint: idleEndpoint{}, Log: zerolog.Nop(), Clock: clock, Recorder: line.New("a", clock, line.DefaultLimits()),
 		OnStaleRoutes: func(int64) {},
 	})
 	go d.Run(t.Context())
@@ -43,6 +45,9 @@
 	d.loop.Post(swap.VerdictsReported{Verdicts: append(valid, poison.Verdict{Part: 4, DecidedAt: now, Lifted: true})})
 	require.Eventually(t, func() bool { return len(d.Convictions()) == 2 }, awaitTime, awaitInterval)
 	assert.Equal(t, valid, d.Convictions())
+	gauge, ok := registry.Get(metricConvictions).(metrics.Gauge)
+	require.True(t, ok)
+	assert.Equal(t, int64(2), gauge.Value())
 
 	require.ErrorIs(t, d.Acquit(9), poison.ErrNotConvicted)
 	require.ErrorIs(t, d.Acquit(4), poison.ErrNotConvicted, "lifted already")
