--- a/io/admin/documented_test.go
+++ b/io/admin/documented_test.go
@@ -17,6 +17,8 @@
 	regexp.MustCompile(`event\.Count\{Name: "([a-z.-]+)"`),
 	regexp.MustCompile(`counter\w+\s*= "([a-z.-]+)"`),
 	regexp.MustCompile(`[sm]\.count\("([a-z.-]+)"`),
+	regexp.MustCompile(`emitCount\("([a-z.-]+[a-z])"`),
+	regexp.MustCompile(`metric\w+\s*= "([a-z.-]+[a-z])"`),
 }
 
 // TestMetricsDocumented checks that docs/OPERATING.md contains the name of every metric.
@@ -55,7 +57,7 @@
 			if name == pkg+"." {
 				continue // The prefix of all counters of the package.
 			}
-			if strings.Contains(match[0], ".count(") {
+			if strings.Contains(match[0], ".count(") || strings.HasPrefix(match[0], "emitCount(") {
 				name = pkg + "." + name
 			}
 			if strings.HasSuffix(name, ".") {
