core/router: rerun a call at no more endpoints than maxAttempts

A request that crashes whoever answers it thus cost 12 of 12 endpoints, and its caller waited for all of them.

Reruns count against maxAttempts now, as all other attempts do. TestRepeatableCallCostsFewEndpoints failed before ("12" is not less than or equal to "4").

--- a/core/router/call.go
+++ b/core/router/call.go
@@ -19,8 +19,8 @@
 	maxResends = 1
 	// maxBackoff bounds how often the timeout for an acknowledgement is doubled.
 	maxBackoff = 4
-	// maxAttempts is the maximum number of attempts of a call, each at one endpoint.
-	// A rerun counts as an attempt but is not limited by maxAttempts.
+	// maxAttempts is the maximum number of attempts of a call, each at one endpoint,
+	// reruns included: a request may crash each endpoint that answers it.
 	maxAttempts = 4
 	// A call is refused at the latest maxRefuseLead before its deadline, or the
 	// time between its arrival and deadline divided by refuseLeadDivisor if that
--- a/core/router/lost.go
+++ b/core/router/lost.go
@@ -113,8 +113,8 @@
 
 // rerunOrRefuse handles a call whose endpoint is given up after its answer has begun
 // or after too many streams broke. An idempotent call is run again at another
-// endpoint, and the part of the answer that the caller already has is skipped. Any
-// other call is refused.
+// endpoint, up to maxAttempts, and the part of the answer that the caller already has is
+// skipped. Any other call is refused.
 func (s *State) rerunOrRefuse(now time.Time, c *call) {
 	if !c.Idempotent || c.answerOf != "" || c.deadlineNear {
 		s.refuseCall(c, c.interruptedRefusal())
@@ -122,7 +122,7 @@
 	}
 	c.excluded = append(c.excluded, c.endpoint)
 	id, ok := s.chooseEndpoint(now, c)
-	if !ok || !s.retryBudget.spend() {
+	if !ok || int(c.attempt) >= maxAttempts || !s.retryBudget.spend() {
 		s.refuseCall(c, fleet.Refusal{
 			Code: fleet.CodeEngineFailed, NotRun: fleet.NotRunFalse,
 			Detail: "the endpoint was lost and no other can go on", RetryAt: now.Add(defaultRetryAfter),
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -1,9 +1,11 @@
 package router_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"chervilreach/core/event"
@@ -358,6 +360,48 @@
 	})
 }
 
+// Guards against an idempotent call that crashes each endpoint which answers it being rerun at all of
+// them, one after the other.
+func TestRepeatableCallCostsFewEndpoints(t *testing.T) {
+	const endpointCount, maxEndpoints = 12, 4
+	f := newLargeFixture(t, endpointCount)
+	f.arrive(func(c *router.Call) { c.Deadline = f.now.Add(30 * time.Second) })
+	offered := 0
+	for ; hasEffect[router.SendOffer](f.effects) && offered <= endpointCount; offered++ {
+		o := onlyEffect[router.SendOffer](f)
+		f.markSent(o)
+		f.apply(router.OfferAcked{ID: "q", ExchangeID: o.ExchangeID})
+		f.apply(router.AnswerBegan{ID: "q", ExchangeID: o.ExchangeID})
+		f.apply(router.OfferRefused{ID: "q", ExchangeID: o.ExchangeID, Refusal: fleet.Refusal{Code: fleet.CodeOutcomeUnknown, NotRun: fleet.NotRunUnknown}})
+	}
+	assert.LessOrEqual(t, offered, maxEndpoints)
+	assert.Equal(t, fleet.NotRunFalse, onlyEffect[router.RefuseCall](f).Refusal.NotRun)
+}
+
+// newLargeFixture returns a router that knows one model, assigned to endpointCount endpoints.
+func newLargeFixture(t *testing.T, endpointCount int) *fixture {
+	t.Helper()
+	f := &fixture{t: t, now: time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)}
+	f.state = router.New(router.Options{Process: "r", HostLag: time.Second, LoadTime: 100 * time.Millisecond, MaxRunning: 8})
+	f.apply(router.ConfigAccepted{Config: &record.Config{
+		Revision: 1, Models: map[fleet.ModelID]record.Model{"m": {ID: "m", WarmLimit: endpointCount, Weights: fleet.GiB}},
+	}})
+	list := fleet.HostList{AsOf: f.now}
+	var entries []place.Entry
+	for i := range endpointCount {
+		id := fmt.Sprint("e", i)
+		list.Hosts = append(list.Hosts, fleet.Host{ID: fleet.HostID(id), Role: fleet.HostRoleEndpoint, Endpoint: fleet.EndpointID(id), State: fleet.HostLive})
+		entries = append(entries, place.Entry{Endpoint: fleet.EndpointID(id), State: place.StateAssigned})
+	}
+	f.apply(router.HostsListed{List: list})
+	f.apply(router.PlacementRead{Model: "m", Revision: 1, Placement: place.Placement{Model: "m", Generation: 1, Entries: entries}})
+	f.apply(router.PlacementsSynced{})
+	for _, e := range entries {
+		f.report(e.Endpoint, 1, 0)
+	}
+	return f
+}
+
 // TestRerunHasTimeToLoad checks that the endpoint that runs a begun stream again may load its model
 // first. An answer that is not streamed still has its deadline.
 func TestRerunHasTimeToLoad(t *testing.T) {
