--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -26,6 +26,8 @@
 	// sameCrash is the largest difference between the times of one crash as seen by several
 	// routers.
 	sameCrash = 2 * time.Second
+	// herdSpread is the largest difference between the times at which endpoints go down together.
+	herdSpread = 150 * time.Millisecond
 	// maxCrashes, maxSuspects and maxVerdicts bound the memory of a judge: the number of
 	// crashes, of the suspects of one crash, and of verdicts. The oldest ones are dropped.
 	maxCrashes  = 64
@@ -236,8 +238,8 @@
 }
 
 // crashCounts returns for each suspect the number of its crashes one after the other: a crash
-// counts only if a request with the part was sent after the one before. Endpoints that go down
-// together count as one crash.
+// counts only if a request with the part was sent after the one before, and herdSpread after it.
+// Endpoints that go down together count as one crash.
 func (j *Judge) crashCounts(now time.Time) map[Part]crashCount {
 	counts := make(map[Part]crashCount)
 	lastAt := make(map[Part]time.Time)
@@ -245,7 +247,8 @@
 		explained := j.isExplained(c, now)
 		for p, s := range c.suspects {
 			n := counts[p]
-			if !c.isSuspect(p) || n.all > 0 && !s.SentAt.After(lastAt[p]) || j.isUsedUp(p, c.at) {
+			isNext := n.all == 0 || s.SentAt.After(lastAt[p]) && c.at.After(lastAt[p].Add(herdSpread))
+			if !isNext || !c.isSuspect(p) || j.isUsedUp(p, c.at) {
 				continue
 			}
 			n.all++
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -69,6 +69,13 @@
 		"crashes at the same moment": {
 			crashes: []Crash{crashWith("a", 0, 1), crashWith("b", 0, 1), crashWith("c", 10*time.Millisecond, 1), crashWith("d", 50*time.Millisecond, 1)},
 		},
+		"herd that takes some time": {
+			crashes: []Crash{
+				{Instance: "a", At: at(0), Suspects: []Suspect{{Part: 1, SentAt: at(-time.Second)}}},
+				{Instance: "b", At: at(70 * time.Millisecond), Suspects: []Suspect{{Part: 1, SentAt: at(10 * time.Millisecond)}}},
+				{Instance: "c", At: at(140 * time.Millisecond), Suspects: []Suspect{{Part: 1, SentAt: at(80 * time.Millisecond)}}},
+			},
+		},
 		"herd, then two crashes": {
 			crashes: []Crash{
 				crashWith("a", 0, 1), crashWith("b", 0, 1), crashWith("c", 10*time.Millisecond, 1),
