io/relayd: extend the write deadline before the end of an answer

A stream that was silent for over 10 s after its last event and then ended looked broken off to its caller: net/http writes the end of a chunked answer after the handler has returned, and the deadline for the write of the last event was still in force. The deadline is now extended when the endpoint's answer has ended. It does not outlive the request: net/http resets it.

--- a/io/relayd/caller.go
+++ b/io/relayd/caller.go
@@ -38,6 +38,16 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// extendWriteDeadline gives the caller callerWriteTimeout from now to accept what is written next.
+// The deadline stays in force, so that it must be extended again before net/http writes the end of
+// an answer, maybe long after the last write. Errors wrap errCallerGone.
+func (x *exchange) extendWriteDeadline() error {
+	if err := x.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
+		return fmt.Errorf("set deadline for write to caller: %w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
 // callerWriter writes to the caller with a deadline. Its errors wrap errCallerGone.
 type callerWriter struct {
 	x *exchange
@@ -46,8 +56,8 @@
 // Write implements io.Writer. It fails if the caller does not accept the bytes within
 // callerWriteTimeout.
 func (c callerWriter) Write(p []byte) (int, error) {
-	if err := c.x.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
-		return 0, fmt.Errorf("set deadline for write to caller: %w: %w", errCallerGone, err)
+	if err := c.x.extendWriteDeadline(); err != nil {
+		return 0, err
 	}
 	n, err := c.x.w.Write(p)
 	if err != nil {
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -402,7 +402,7 @@
 			return err
 		}
 		ended.Result = relay.Done
-		return nil
+		return x.extendWriteDeadline()
 	}
 	if x.headerSent {
 		return fmt.Errorf("status %d: %w", resp.StatusCode, errNotResumed)
@@ -439,7 +439,7 @@
 		return fmt.Errorf("forward answer: %w", err)
 	}
 	ended.Result = relay.Done
-	return nil
+	return x.extendWriteDeadline()
 }
 
 // writeAnswer writes a buffered answer to the caller. It panics with http.ErrAbortHandler if
