io/relayd: take an unframed stream without events for broken off

An answer with neither a length nor chunks ends with its connection. An endpoint that ended after the head of such a stream, before its first event, gave the caller an empty stream that looked whole, and the router a request that was done. It is now an attempt that broke off: it is retried if the route allows it, and fails otherwise. Framed streams may still be empty.

TestUnframedAnswer shows plain answers and streams of all kinds of route, with an orderly end, with an end inside an event and with a reset. Before, it failed in four cases, those of a stream that ends before its first event: 200 with an empty body in place of the events of the other endpoint or of a 502. All others passed.

--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -21,6 +21,10 @@
 // ErrEventTooLong means that a stream event is longer than maxEventBytes.
 var ErrEventTooLong = errors.New("event too long")
 
+// errNoEvent means that the endpoint closed its connection before the first event of a stream. An
+// endpoint that ends after it has begun an answer does so, too.
+var errNoEvent = errors.New("connection closed before the first event")
+
 // forwardStream forwards the events of a stream as they arrive. Only complete events are
 // forwarded, so that the stream can be resumed at another endpoint. The time from one event
 // to the next is limited to send.MaxGap; comments do not count. The head is sent with the first
@@ -33,6 +37,9 @@
 	for {
 		ev, err := readEvent(events)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
+			if !started && unframed(resp) {
+				return errNoEvent
+			}
 			return x.beginStream(resp, info, comments)
 		}
 		if err != nil {
@@ -67,6 +74,11 @@
 	}
 }
 
+// unframed reports whether only the end of the connection marks the end of an answer.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // beginStream writes the status, the header and the comments before the first event of a stream,
 // unless the beginning of the stream has been sent.
 func (x *exchange) beginStream(resp *http.Response, info AnswerInfo, comments []byte) error {
