core/relay: keep the newest routes whatever the order of their arrival

The store's watch and an agent may deliver two versions of the routes at the same moment. Each was put in force for the matching of requests first and then queued for the reducer, so that the reducer could get the older version last and keep it until the next change: it would refuse requests for models that only the newer version has, and load by the older one. A request matched with new routes could also reach the reducer before them.

The reducer now ignores a version that is not newer than its own, and routes match requests only once they are in the reducer's queue.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -245,7 +245,7 @@
 // Kind implements event.Event.
 func (AgentLost) Kind() string { return "relay-agent-lost" }
 
-// RoutesAdopted carries a newer routing table, which replaces the previous one.
+// RoutesAdopted carries a routing table, which replaces the current one if it is newer.
 type RoutesAdopted struct {
 	Table *route.Table
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -470,3 +470,17 @@
 	router.report("e2", routers(2))
 	assert.Equal(t, 2, router.state.retryBudget.routerCount)
 }
+
+// Guards against a router that goes back to older routes: the store's watch and an agent may deliver
+// two versions at the same moment, and the newer one may be applied first.
+func TestOlderRoutesAfterNewerAreIgnored(t *testing.T) {
+	older := testTable()
+	models := map[string]route.Model{"new": {Name: "new", Size: 70_000, FromDisk: time.Second}}
+	newer := route.NewTable(2, route.Limits{}, nil, []*route.Service{{Name: llm, Engine: &route.Engine{Slots: 64, Memory: 230_000, Models: models}}})
+	router := newTestRouter(t, testEntry("e1", llm))
+	router.report("e1", withModels("new"))
+	router.apply(RoutesAdopted{Table: newer})
+	router.apply(RoutesAdopted{Table: older})
+	router.arrive(streamRoute(), stock.Item{Model: "new"})
+	require.Equal(t, "e1", onlyEffect[Send](router).Instance)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -151,7 +151,7 @@
 	case AgentLost:
 		s.handleAgentLost(ev)
 	case RoutesAdopted:
-		s.table = ev.Table
+		s.handleRoutesAdopted(ev)
 	case ShutdownStarted:
 		s.handleShutdownStarted(ev)
 	case SettingsChanged:
@@ -269,6 +269,13 @@
 	return firstBy, gap
 }
 
+// handleRoutesAdopted replaces the routing table unless the current one is as new.
+func (s *State) handleRoutesAdopted(ev RoutesAdopted) {
+	if s.table == nil || ev.Table.Version > s.table.Version {
+		s.table = ev.Table
+	}
+}
+
 func (s *State) handleAnswerStarted(ev AnswerStarted) {
 	r := s.requests[ev.ID]
 	if r == nil || r.target == nil || r.answerBegan {
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -118,6 +118,11 @@
 // AdoptRoutes puts a routing table in force unless its version is the current one or
 // older.
 func (d *Daemon) AdoptRoutes(t *route.Table) {
+	if d.RoutesVersion() >= t.Version {
+		return
+	}
+	// The reducer must have the table before the first request that is matched with it.
+	d.loop.Post(relay.RoutesAdopted{Table: t})
 	for {
 		current := d.table.Load()
 		if current != nil && current.Version >= t.Version {
@@ -128,7 +133,6 @@
 		}
 	}
 	d.log.Info().Int64("version", t.Version).Msg("routes adopted")
-	d.loop.Post(relay.RoutesAdopted{Table: t})
 }
 
 // Configure replaces the settings.
