core/relay: send requests for a model only to endpoints that hold it

When a change of the configuration removed a service, its requests in progress were sent to any of its endpoints, whether or not it held the model: without an engine in the configuration, each endpoint counted as able to serve each model. The endpoint rejected the request, which was then sent there again at once, until the retry budget of the service was used up. Requests that waited for a load met the same end. An endpoint that loads models now gets only requests for models that it holds; if there is none, the request is refused.

Before, TestModelThatLeavesTheConfiguration failed for requests that waited for a load and for those whose endpoint had lost the model, with a Send to the endpoint without it.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -82,7 +82,7 @@
 	if e.Service != r.Service || e.Leaving || slices.Contains(r.avoidedInstances, e.Instance) {
 		return false
 	}
-	if r.Item.Model == "" || s.table.Engine(e.Service) == nil {
+	if r.Item.Model == "" || !e.HasModels && s.table.Engine(e.Service) == nil {
 		return true
 	}
 	return e.assumedAlive(s.now) && e.Stock.Holds(r.Item)
