core/relay: resume requests whose model has left the configuration

A stream that broke off after its model had been removed from the configuration was cut off, with "unknown-model", though another endpoint held the model: requests were checked against the configuration of the moment at each attempt. A request that has been at an endpoint or in the queue is now still sent to an endpoint that holds its model. New requests for the model are refused as before, and so is one in progress once no endpoint holds it.

Before, TestModelThatLeavesTheConfiguration failed for a stream that breaks off at one of two holders: Fail with unknown-model in place of a Send to the other.

--- a/core/relay/config_test.go
+++ b/core/relay/config_test.go
@@ -28,7 +28,7 @@
 // Guards against a request that is sent again and again to an endpoint that lacks its model, because
 // the configuration no longer has the service or the model.
 func TestModelThatLeavesTheConfiguration(t *testing.T) {
-	for name, lost := range map[string]string{"service": ""} {
+	for name, lost := range map[string]string{"model": "c", "service": ""} {
 		t.Run(name+", waits for its load", func(t *testing.T) {
 			router := newTestRouter(t, testEntry("e1", llm))
 			router.report("e1", withModels("a"))
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -73,7 +73,7 @@
 	if mayWait && (r.Item.Adapter == "" || s.unlimitedHolderCount(r.Service, stock.Item{Model: r.Item.Model}) == 0) {
 		return permitsAt, ""
 	}
-	if engine == nil || r.Item.Model == "" {
+	if engine == nil || r.Item.Model == "" || s.requestsUnknownModel(r) {
 		return permitsAt, RateLimited
 	}
 	loadedAt, reason := s.joinOrRequestLoad(r, engine)
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"chervilreach/core/event"
@@ -190,7 +191,7 @@
 		s.refuseOrFail(r, Stopping, s.now)
 		return
 	}
-	if r.Item.Model != "" && s.requestsUnknownModel(r) {
+	if s.requestsUnknownModel(r) && !s.mayFinishUnknownModel(r) {
 		s.refuseOrFail(r, UnknownModel, s.now.Add(unknownModelRetryDelay))
 		return
 	}
@@ -224,13 +225,20 @@
 // requested model.
 func (s *State) requestsUnknownModel(r *request) bool {
 	engine := s.table.Engine(r.Service)
-	if engine == nil {
+	if engine == nil || r.Item.Model == "" {
 		return false
 	}
 	_, ok := engine.Models[r.Item.Model]
 	return !ok
 }
 
+// mayFinishUnknownModel reports whether an endpoint can serve the request although its model is
+// not configured, because the model was configured when the request arrived.
+func (s *State) mayFinishUnknownModel(r *request) bool {
+	isNew := r.attemptCount == 0 && r.waitsFor == ""
+	return !isNew && slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool { return s.canServe(e, r) })
+}
+
 // send starts an attempt at e.
 func (s *State) send(r *request, e *endpoint, basis Basis) {
 	s.stopWaiting(r)
