--- a/core/relay/bench_test.go
+++ b/core/relay/bench_test.go
@@ -130,3 +130,30 @@
 		s.Apply(now, EndpointsListed{List: list})
 	}
 }
+
+// BenchmarkAdoptRoutesAtTarget measures the step that adopts routes while requests wait, with the
+// review of replicas that may be due in the same step.
+func BenchmarkAdoptRoutesAtTarget(b *testing.B) {
+	const waitingRequests = 400
+	s, now := largeFleetState(b)
+	for _, e := range s.endpoints {
+		e.Leaving = true
+	}
+	s.listDeadline = now.Add(time.Hour)
+	for n := range waitingRequests {
+		s.Apply(now, RequestArrived{ID: RequestID(1_000_000 + n), Request: largeFleetRequest(now, n)})
+	}
+	assert.Len(b, s.waiting, waitingRequests)
+	version := s.table.Version
+	var longest time.Duration
+	for b.Loop() {
+		version++
+		next := *s.table
+		next.Version = version
+		now = now.Add(time.Millisecond)
+		startedAt := time.Now()
+		s.Apply(now, RoutesAdopted{Table: &next})
+		longest = max(longest, time.Since(startedAt))
+	}
+	b.ReportMetric(float64(longest.Microseconds()), "longest-µs")
+}
