io/guard: never end a cut off answer or an empty one as complete

A handler that returned after a failed write ended its answer in the usual way, and one that returned without a write sent an empty 200. The guard now closes the connection after the outcomes cut and left, and counts a handler that has written nothing as unknown, with status 500. No handler is known to have done either.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -59,9 +59,9 @@
 }
 
 // Serve runs a handler. The handler must call End with its writer before it returns or panics
-// with http.ErrAbortHandler. After any other panic, or if the handler returns without an answer
-// and an outcome, the caller gets status 500; if an answer has begun, the caller's connection is
-// closed.
+// with http.ErrAbortHandler. After any other panic, or if the handler returns without an answer,
+// the caller gets status 500; if an answer has begun, the caller's connection is closed. It is
+// also closed after the outcomes Cut and Left, so that what was written does not look complete.
 func (g *Guard) Serve(w http.ResponseWriter, r *http.Request, handler http.HandlerFunc) {
 	sw := &writer{ResponseWriter: w}
 	defer func() { g.finish(sw, r, recover()) }()
@@ -85,16 +85,16 @@
 		w.outcome = Panicked
 		g.Log.Error().Str("request", r.Header.Get(g.IDHeader)).Str("path", r.URL.Path).Str("panic", fmt.Sprint(panicked)).
 			Bytes("stack", debug.Stack()).Msg(MessagePanic)
-	case w.outcome == "", abort && !w.outcome.aborted():
+	case w.outcome == "", (abort || !w.begun) && !w.outcome.aborted():
 		g.Log.Warn().Str("request", r.Header.Get(g.IDHeader)).Str("path", r.URL.Path).Bool("aborted", abort).
 			Bool("begun", w.begun).Str("outcome", string(w.outcome)).Msg(MessageUnknown)
 		w.outcome = Unknown
 	}
 	metrics.GetOrRegisterCounter(g.Prefix+string(w.outcome), g.Metrics).Inc(1)
 	switch {
-	case abort || panicked != nil && w.begun:
+	case abort, w.outcome.aborted(), panicked != nil && w.begun:
 		panic(http.ErrAbortHandler)
-	case !w.begun && w.outcome != Left:
+	case !w.begun:
 		w.answerError()
 	}
 }
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -37,6 +37,17 @@
 			guard.End(w, guard.Cut)
 			panic(http.ErrAbortHandler)
 		}, 200, true, guard.Cut, ""},
+		"returns from a cut off answer": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			guard.End(w, guard.Cut)
+		}, 200, true, guard.Cut, ""},
+		"returns without a caller": {func(w http.ResponseWriter, _ *http.Request) {
+			guard.End(w, guard.Left)
+		}, 0, false, guard.Left, ""},
+		"answers nothing": {func(w http.ResponseWriter, _ *http.Request) {
+			guard.End(w, guard.Answered)
+		}, 500, false, guard.Unknown, guard.MessageUnknown},
 		"panic before the answer": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Seal", "s")
 			panic("bug")
