--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"chervilreach/core/event"
@@ -156,7 +157,7 @@
 	case PartAcquitted:
 		s.handlePartAcquitted(ev)
 	case RoutesAdopted:
-		s.table = ev.Table
+		s.handleRoutesAdopted(ev)
 	case ShutdownStarted:
 		s.handleShutdownStarted(ev)
 	case SettingsChanged:
@@ -201,7 +202,7 @@
 		s.refuseOrFail(r, Stopping, s.now)
 		return
 	}
-	if r.Item.Model != "" && s.requestsUnknownModel(r) {
+	if s.requestsUnknownModel(r) && !s.mayFinishUnknownModel(r) {
 		s.refuseOrFail(r, UnknownModel, s.now.Add(unknownModelRetryDelay))
 		return
 	}
@@ -235,13 +236,20 @@
 // requested model.
 func (s *State) requestsUnknownModel(r *request) bool {
 	engine := s.table.Engine(r.Service)
-	if engine == nil {
+	if engine == nil || r.Item.Model == "" {
 		return false
 	}
 	_, ok := engine.Models[r.Item.Model]
 	return !ok
 }
 
+// mayFinishUnknownModel reports whether an endpoint can serve the request although its model is
+// not configured, because the model was configured when the request arrived.
+func (s *State) mayFinishUnknownModel(r *request) bool {
+	isNew := r.attemptCount == 0 && r.waitsFor == ""
+	return !isNew && slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool { return s.canServe(e, r) })
+}
+
 // send starts an attempt at e.
 func (s *State) send(r *request, e *endpoint, basis Basis) {
 	s.stopWaiting(r)
@@ -280,6 +288,13 @@
 	return firstBy, gap
 }
 
+// handleRoutesAdopted replaces the routing table unless the current one is as new.
+func (s *State) handleRoutesAdopted(ev RoutesAdopted) {
+	if s.table == nil || ev.Table.Version > s.table.Version {
+		s.table = ev.Table
+	}
+}
+
 func (s *State) handleAnswerStarted(ev AnswerStarted) {
 	r := s.requests[ev.ID]
 	if r == nil || r.target == nil || r.answerBegan {
