io/drain: serve requests that have arrived when a router closes idle connections

What callers saw: 2.9 s after a SIGTERM, callers' kept connections were closed although a request had been sent on them up to 100 ms before, with no answer and no line of the router.

Cause: Server.Shutdown of net/http closes each connection in StateIdle, which lasts until the header of the next request has been read. A request that lies in the receive buffer or is being read is closed with its connection. A new connection is worse off: its header is read, and then the connection is closed without an answer because the server shuts down.

Change: io/drain, used by both kinds of routers, does not use Shutdown. A connection has its wait for a request ended by a read deadline, and its own goroutine closes it only if the receive buffer is empty. A request of which a byte has been read or lies in the buffer is served, and its answer closes the connection. Connections without a request that are new or were answered just before stay open for 0.1 s. One line at the end tells how many connections were closed and how many were kept for a request.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -159,7 +159,10 @@
 		return Idle
 	}
 	rc, err := raw.SyscallConn()
-	if err != nil {
+	switch {
+	case errors.Is(err, errors.ErrUnsupported):
+		return Idle
+	case err != nil:
 		return Closed
 	}
 	state := Idle
--- a/io/front/conn_test.go
+++ b/io/front/conn_test.go
@@ -287,6 +287,44 @@
 	})
 }
 
+// Guards against a drain that closes a connection, without a response, of which it has read the
+// first bytes of a call. The caller sends the rest after the drain delay.
+func TestDrainServesCallThatIsBeingRead(t *testing.T) {
+	const drainDelay = 2 * time.Second
+	for name, earlier := range map[string]string{"new connection": "", "kept connection": rawStreamedRequest} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server, ln := startServer(t, answerOK, drainDelay)
+				conn, err := ln.dial(t.Context(), "", "")
+				require.NoError(t, err)
+				defer conn.Close()
+				responses := bufio.NewReader(conn)
+				call := func(text string) *http.Response {
+					_, err := io.WriteString(conn, text)
+					require.NoError(t, err)
+					res, err := http.ReadResponse(responses, nil)
+					require.NoError(t, err)
+					_, err = io.Copy(io.Discard, res.Body)
+					require.NoError(t, err)
+					return res
+				}
+				if earlier != "" {
+					require.False(t, call(earlier).Close)
+				}
+				_, err = io.WriteString(conn, rawStreamedRequest[:20])
+				require.NoError(t, err)
+				drained := make(chan error, 1)
+				go func() { drained <- server.Shutdown(t.Context()) }()
+				time.Sleep(drainDelay + time.Second)
+				res := call(rawStreamedRequest[20:])
+				require.Equal(t, http.StatusOK, res.StatusCode)
+				require.True(t, res.Close)
+				require.NoError(t, <-drained)
+			})
+		})
+	}
+}
+
 // TestDrainTooLong checks that Shutdown ends at the deadline of its context and truncates a
 // stream that is still in progress.
 func TestDrainTooLong(t *testing.T) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"chervilreach/io/drain"
 )
 
 // Limits of the callers' connections.
@@ -28,7 +30,7 @@
 // Server is the HTTP server that serves a Front.
 type Server struct {
 	front *Front
-	http  *http.Server
+	http  *drain.Server
 	// drainDelay is the time for which new calls are still accepted after Shutdown begins.
 	drainDelay time.Duration
 	// cancelCalls cancels the contexts of all calls.
@@ -43,13 +45,13 @@
 	callsCtx, cancelCalls := context.WithCancelCause(context.Background())
 	return &Server{
 		front: f,
-		http: &http.Server{
+		http: drain.New(&http.Server{
 			Handler:           f,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			BaseContext:       func(net.Listener) context.Context { return callsCtx },
-		},
+		}),
 		drainDelay:  drainDelay,
 		cancelCalls: cancelCalls,
 		failed:      make(chan error, 1),
@@ -102,16 +104,19 @@
 	case <-delay.C:
 	case <-drainCtx.Done():
 	}
-	if err := s.http.Shutdown(drainCtx); err != nil {
+	if err := s.http.Drain(drainCtx); err != nil {
 		s.cancelCalls(errDrainTimeout)
 		// Connections of calls that get no response in time are closed.
-		_ = s.http.Shutdown(ctx)
+		_ = s.http.Drain(ctx)
 		_ = s.http.Close()
 		return fmt.Errorf("drain callers: %w", err)
 	}
-	return nil
+	return s.Close()
 }
 
+// IdleConns returns what became of the connections that had no request during Shutdown.
+func (s *Server) IdleConns() drain.Counts { return s.http.Counts() }
+
 // drainContext returns a context that ends drainAnswerTime before the deadline of ctx, or
 // one without a deadline if ctx has none.
 func drainContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -19,6 +19,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/io/admin"
+	"chervilreach/io/drain"
 	"chervilreach/io/line"
 	"chervilreach/io/logs"
 	"chervilreach/io/mirror"
@@ -90,7 +91,7 @@
 	startedAt       time.Time
 	adminServer     *http.Server
 	mirror          *mirror.Mirror
-	callerServer    *http.Server
+	callerServer    *drain.Server
 	readinessServer *http.Server
 	stop            context.CancelFunc
 	// failed receives the errors of callerServer and readinessServer.
@@ -117,10 +118,10 @@
 		Store: platform.Store, Prefix: platform.Prefix, WatchPause: cfg.Store.WatchPause, WatchWait: cfg.Store.WatchWait, Log: log.Logger,
 		OnChange: r.onStoreChange,
 	})
-	r.callerServer = &http.Server{
+	r.callerServer = drain.New(&http.Server{
 		Handler: r.daemon, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		ConnContext: relayd.WithConn,
-	}
+	})
 	r.readinessServer = &http.Server{Handler: http.HandlerFunc(r.handleReadiness), ReadHeaderTimeout: callerHeaderTimeout}
 	return r
 }
@@ -175,8 +176,14 @@
 	r.daemon.SetEndpoints(r.platform.Decoder.Endpoints(snapshot), partial)
 }
 
+// server is an http.Server or a drain.Server.
+type server interface {
+	Serve(l net.Listener) error
+	Close() error
+}
+
 // listen starts a server on addr. If the server fails later, the error is sent to r.failed.
-func (r *Relay) listen(ctx context.Context, s *http.Server, addr netip.AddrPort) error {
+func (r *Relay) listen(ctx context.Context, s server, addr netip.AddrPort) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", addr.String())
 	if err != nil {
@@ -256,7 +263,8 @@
 	case <-time.After(shutdownGrace):
 	}
 	defer r.closeServers()
-	if err := r.callerServer.Shutdown(ctx); err != nil {
+	defer r.logConns()
+	if err := r.callerServer.Drain(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.RequestsInProgress()).Msg("drain incomplete; aborting requests in progress")
 		r.abortRequests(exitAt)
 		return fmt.Errorf("finish requests: %w", err)
@@ -265,10 +273,16 @@
 	return nil
 }
 
+// logConns logs what became of the callers' connections that had no request during the drain.
+func (r *Relay) logConns() {
+	n := r.callerServer.Counts()
+	r.log.Info().Int("closed", n.Closed).Int("kept-for-request", n.Kept).Msg("idle connections of callers ended")
+}
+
 // closeServers closes the servers with all their connections, as the end of the process
 // would.
 func (r *Relay) closeServers() {
-	for _, s := range []*http.Server{r.callerServer, r.readinessServer, r.adminServer} {
+	for _, s := range []server{r.callerServer, r.readinessServer, r.adminServer} {
 		if err := s.Close(); err != nil {
 			r.log.Warn().Err(err).Msg("close server failed")
 		}
@@ -281,7 +295,7 @@
 	r.daemon.AbortAttempts()
 	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
 	defer cancel()
-	if err := r.callerServer.Shutdown(ctx); err != nil {
+	if err := r.callerServer.Drain(ctx); err != nil {
 		r.log.Error().Err(err).Msg("shutdown ended before all answers were written")
 		r.daemon.LogUnanswered()
 	}
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -132,6 +132,8 @@
 // of ctx it aborts the remaining calls and returns an error.
 func (r *Router) Stop(ctx context.Context) error {
 	err := r.server.Shutdown(ctx)
+	idle := r.server.IdleConns()
+	do.MustInvoke[*logs.Log](r.in).Info().Int("closed", idle.Closed).Int("kept-for-request", idle.Kept).Msg("idle connections of callers ended")
 	if err == nil {
 		err = r.daemon.Drain(ctx)
 	}
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chervilreach/io/drain"
 	"chervilreach/io/logs"
 	"chervilreach/io/relayd"
 )
@@ -25,13 +26,13 @@
 		readinessServer: &http.Server{}, stop: func() {},
 	}
 	arrived := make(chan struct{})
-	r.callerServer = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	r.callerServer = drain.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(arrived)
 		// The daemon does not track this request, so that Stop can't abort it and must wait
 		// until the handler returns.
 		time.Sleep(grace - abortMargin + writeTime)
 		w.WriteHeader(http.StatusServiceUnavailable)
-	})}
+	})})
 	var lc net.ListenConfig
 	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
