--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -127,7 +127,7 @@
 
 // sameDecision is the largest difference between the times of one decision as known to several
 // processes, which learn it as an age.
-const sameDecision = time.Second
+const sameDecision = 5 * time.Second
 
 // Supersedes reports whether v replaces old as the verdict on the same part: the later one does, and
 // a lifted one if the other is about as late.
