--- a/core/relay/limitfleet_test.go
+++ b/core/relay/limitfleet_test.go
@@ -20,16 +20,14 @@
 // limitFleet simulates the routers of a fleet and two agents with a common clock. One of the
 // endpoints names a limit. Messages and answers take netDelay to netDelay plus netJitter.
 type limitFleet struct {
+	fleetClock
 	t       *testing.T
-	rnd     *rand.Rand
-	now     time.Time
 	routers []*fleetRouter
 	agents  map[string]*swap.State
 	// downUntil is the time until which an agent is down.
 	downUntil map[string]time.Time
 	// cutOff reports whether a router does not reach an agent.
 	cutOff    func(router int, agent string) bool
-	pending   []fleetMessage
 	entries   []EndpointEntry
 	limited   string
 	perSecond float64
@@ -66,11 +64,43 @@
 	id     RequestID
 }
 
+// fleetClock is the common clock of a simulated fleet, with the messages that are on their way.
+type fleetClock struct {
+	rnd     *rand.Rand
+	now     time.Time
+	pending []fleetMessage
+}
+
 type fleetMessage struct {
 	at      time.Time
 	deliver func()
 }
 
+func newFleetClock(seed uint64) fleetClock {
+	return fleetClock{rnd: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000)}
+}
+
+// after calls deliver after d and the delay of a message.
+func (c *fleetClock) after(d time.Duration, deliver func()) {
+	c.at(c.now.Add(d+netDelay+time.Duration(c.rnd.Int64N(int64(netJitter)))), deliver)
+}
+
+// at calls deliver at the given time. Calls for the same time keep their order.
+func (c *fleetClock) at(at time.Time, deliver func()) {
+	i, _ := slices.BinarySearchFunc(c.pending, at, func(m fleetMessage, at time.Time) int { return cmp.Or(m.at.Compare(at), -1) })
+	c.pending = slices.Insert(c.pending, i, fleetMessage{at, deliver})
+}
+
+// step advances the clock by fleetStep and delivers the messages that are due.
+func (c *fleetClock) step() {
+	c.now = c.now.Add(fleetStep)
+	for len(c.pending) > 0 && !c.pending[0].at.After(c.now) {
+		m := c.pending[0]
+		c.pending = c.pending[1:]
+		m.deliver()
+	}
+}
+
 type fleetArrival struct {
 	at     time.Time
 	router int
@@ -87,7 +117,7 @@
 func newLimitFleet(t *testing.T, seed uint64, routerCount int, limited string, perSecond float64) *limitFleet {
 	t.Helper()
 	f := &limitFleet{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000), limited: limited, perSecond: perSecond,
+		t: t, fleetClock: newFleetClock(seed), limited: limited, perSecond: perSecond,
 		agents: make(map[string]*swap.State), downUntil: make(map[string]time.Time), answered: make(map[bool]int),
 		asks: make(map[uint64]func(swap.PermitAnswered)), arrivedAt: make(map[fleetRequest]time.Time),
 		entries: []EndpointEntry{testEntry("e1", llm), testEntry("e2", llm), testEntry("p1", plain)},
@@ -147,12 +177,6 @@
 	})
 }
 
-func (f *limitFleet) after(d time.Duration, deliver func()) {
-	at := f.now.Add(d + netDelay + time.Duration(f.rnd.Int64N(int64(netJitter))))
-	i, _ := slices.BinarySearchFunc(f.pending, at, func(m fleetMessage, at time.Time) int { return cmp.Or(m.at.Compare(at), -1) })
-	f.pending = slices.Insert(f.pending, i, fleetMessage{at, deliver})
-}
-
 // apply applies an event to a router, or keeps it while the router is frozen.
 func (f *limitFleet) apply(r *fleetRouter, ev event.Event) {
 	if f.now.Before(r.frozenUntil) {
@@ -256,12 +280,7 @@
 // run advances the clock by d. In each step the routers get requests at the given total rate.
 func (f *limitFleet) run(d time.Duration, requestsPerSecond float64) {
 	for end := f.now.Add(d); f.now.Before(end); {
-		f.now = f.now.Add(fleetStep)
-		for len(f.pending) > 0 && !f.pending[0].at.After(f.now) {
-			m := f.pending[0]
-			f.pending = f.pending[1:]
-			m.deliver()
-		}
+		f.step()
 		for _, r := range f.routers {
 			if f.now.Before(r.frozenUntil) {
 				continue
