core/relay: report recent crashes to agents that become judges

Which agents judge depends on the list of endpoints, and changes when their own endpoints crash. An agent that had been connected all the while and became a judge got the recent crashes only of routers that lost further attempts, and decided on a part of the evidence: in a simulated fleet of 107 routers with a third of the endpoints killed beside a deadly part, a sound session's part was convicted and stayed so.

Routers now tell each new judge all recent crashes, once.

--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -84,6 +84,9 @@
 	askAgainAt time.Time
 	// lostAttempts are the attempts that the endpoint's crash may have ended.
 	lostAttempts []lostAttempt
+	// toldCrashCount is the number of the router's crashes (poisonState.crashCount) when the agent
+	// was last told the recent ones.
+	toldCrashCount int
 	// objectedAt is the time at which the agent was last told of answered prompt parts.
 	objectedAt time.Time
 	// toldVerdictsAt is the time at which the agent was last told verdicts on prompt parts.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -41,6 +41,7 @@
 		}
 	}
 	s.updateListDeadline(ev.More)
+	s.informJudges()
 	s.followUpdatePending = true
 	s.dispatchWaiting()
 }
@@ -130,8 +131,8 @@
 	s.spreadVerdicts(e)
 	s.unassignLoadsIfLeaving(e)
 	s.dispatchWaitingFor(e)
-	if first && len(s.poison.crashes) > 0 && slices.Contains(s.judges(e.Service), e) {
-		s.informJudge(e)
+	if first {
+		s.informJudges()
 	}
 	if first && s.followsSubset() {
 		s.dispatchWaiting()
@@ -181,7 +182,7 @@
 // others.
 func (s *State) handleAgentLost(ev AgentLost) {
 	if e := s.endpoint(ev.Instance); e != nil {
-		e.hasAgent = false
+		e.hasAgent, e.toldCrashCount = false, 0
 		e.lastDemand = stock.Demand{}
 		s.unassignLoads(ev.Instance)
 	}
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -52,7 +52,10 @@
 type poisonState struct {
 	answered *poison.Answered
 	verdicts map[poison.Part]poison.Verdict
-	crashes  []recentCrash
+	// crashes are the crashes that were reported to judges lately, crashCount the number of all so
+	// far.
+	crashes    []recentCrash
+	crashCount int
 }
 
 func newPoisonState() poisonState {
@@ -143,11 +146,8 @@
 		s.poison.crashes = s.poison.crashes[1:]
 	}
 	s.poison.crashes = append(s.poison.crashes, recentCrash{e.Service, c})
-	for _, judge := range s.judges(e.Service) {
-		if judge.hasAgent {
-			s.informJudge(judge)
-		}
-	}
+	s.poison.crashCount++
+	s.informJudges()
 	s.followUpdatePending = s.followUpdatePending || s.followsSubset()
 }
 
@@ -211,9 +211,24 @@
 	return candidates
 }
 
-// informJudge reports the recent crashes to an agent. Those that it knows are reported again, as the
-// agents that judge change when their endpoints crash.
+// informJudges reports the recent crashes to the judges that have not been told all of them. Which
+// agents judge changes when their endpoints crash.
+func (s *State) informJudges() {
+	if len(s.recentCrashes()) == 0 {
+		return
+	}
+	for _, service := range slices.Sorted(maps.Keys(s.index.rings)) {
+		for _, judge := range s.judges(service) {
+			if judge.hasAgent && judge.toldCrashCount < s.poison.crashCount {
+				s.informJudge(judge)
+			}
+		}
+	}
+}
+
+// informJudge reports the recent crashes to an agent.
 func (s *State) informJudge(judge *endpoint) {
+	judge.toldCrashCount = s.poison.crashCount
 	var list []poison.Crash
 	for _, c := range s.recentCrashes() {
 		if c.service == judge.Service {
