--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -161,13 +161,23 @@
 		if at.IsZero() || now.Before(at) {
 			return convicted, at
 		}
-		v := Verdict{Part: p, DecidedAt: now, CrashCount: j.crashCounts(now)[p].all}
+		v := Verdict{Part: p, DecidedAt: j.decisionTime(now, p), CrashCount: j.crashCounts(now)[p].all}
 		j.liftExplainedBy(now, p)
 		j.setVerdict(v)
 		convicted = append(convicted, v)
 	}
 }
 
+// decisionTime returns the time of a conviction that is decided now: later if the part was acquitted
+// so lately that processes would not take the conviction for the newer verdict.
+func (j *Judge) decisionTime(now time.Time, p Part) time.Time {
+	v, ok := j.verdicts[p]
+	if earliest := v.DecidedAt.Add(sameDecision + time.Millisecond); ok && v.Lifted && now.Before(earliest) {
+		return earliest
+	}
+	return now
+}
+
 // nextConviction returns the part that is to be convicted next, and the earliest time of that;
 // zero if there is none. If several parts were in the same crashes, the one that is deepest in
 // its prompts comes first: it has fewer prompts than the parts before it, and if one of these is the
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -382,3 +382,17 @@
 	assert.True(t, a.Recently(at(2*time.Second), Part(100+10*maxAnswered-maxAnswered/2)), "half of them at least are remembered")
 	assert.False(t, a.Recently(at(2*time.Second), 1))
 }
+
+// Guards against a conviction that no router adopts because the part was acquitted shortly before.
+func TestConvictionSoonAfterAcquittalIsTheNewerVerdict(t *testing.T) {
+	j := NewJudge()
+	lifted := Verdict{Part: 1, DecidedAt: start, Lifted: true}
+	j.AddVerdict(lifted)
+	for i := range 3 {
+		j.AddCrash(crashWith(fmt.Sprint("e", i), time.Duration(i+1)*300*time.Millisecond, 1))
+	}
+	require.Equal(t, []Part{1}, decideAll(j, at(time.Second)))
+	v := j.Verdicts(at(2 * time.Second))[0]
+	assert.True(t, v.Supersedes(lifted))
+	assert.True(t, v.InForce(at(2*time.Second)))
+}
