core/poison: convict a part beside many suspects; decide only when something has changed

The 256 announced suspects stayed announced as long as they had two crashes, and a part with more crashes was not announced and thus not convicted beside them. A prompt with many parts that crashed endpoints twice was enough. Those with the most crashes are announced now. TestPartBesideManySuspectsIsConvicted failed before: nobody convicted.

An old verdict replaced the oldest of a full table (TestNewestVerdictsAreKept failed before).

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -28,6 +28,8 @@
 	sameCrash = 2 * time.Second
 	// herdSpread is the largest difference between the times at which endpoints go down together.
 	herdSpread = 150 * time.Millisecond
+	// recheckInterval is the longest time between two decisions.
+	recheckInterval = time.Second
 	// maxCrashes, maxSuspects and maxVerdicts bound the memory of a judge: the number of
 	// crashes, of the suspects of one crash, and of verdicts. The oldest ones are dropped.
 	maxCrashes  = 64
@@ -47,6 +49,10 @@
 	// announcedAt has the time since which each suspect is announced.
 	announcedAt map[Part]time.Time
 	verdicts    map[Part]Verdict
+	// changed reports whether there is new evidence or a new verdict since the last decision. Without one, the
+	// next decision is due at nextAt or, as evidence and verdicts expire, at recheckAt.
+	changed           bool
+	nextAt, recheckAt time.Time
 }
 
 // crash is a crash with the suspects that all routers have reported.
@@ -80,6 +86,7 @@
 
 // AddCrash adds a router's report of a crash to the evidence.
 func (j *Judge) AddCrash(c Crash) {
+	j.changed = true
 	known := j.crashOf(c)
 	for _, s := range c.Suspects {
 		old, ok := known.suspects[s.Part]
@@ -118,6 +125,7 @@
 // Clear drops the evidence against parts whose requests an endpoint has answered, and lifts
 // their convictions.
 func (j *Judge) Clear(now time.Time, parts []Part) {
+	j.changed = true
 	for _, p := range parts {
 		j.answeredAt.Put(p, now)
 		delete(j.announcedAt, p)
@@ -134,40 +142,53 @@
 	}
 }
 
+// setVerdict sets a verdict. If there are too many, the oldest one is dropped.
 func (j *Judge) setVerdict(v Verdict) {
-	if _, ok := j.verdicts[v.Part]; !ok && len(j.verdicts) >= maxVerdicts {
+	j.changed = true
+	j.verdicts[v.Part] = v
+	if len(j.verdicts) > maxVerdicts {
 		oldest := slices.MinFunc(slices.Collect(maps.Values(j.verdicts)), func(a, b Verdict) int {
 			return cmp.Or(a.DecidedAt.Compare(b.DecidedAt), cmp.Compare(a.Part, b.Part))
 		})
 		delete(j.verdicts, oldest.Part)
 	}
-	j.verdicts[v.Part] = v
 }
 
 // Decide forgets old evidence, announces the suspects and convicts those to which no router
 // has objected. It returns the new convictions, and the time at which it must be called again;
 // zero if there is none.
 func (j *Judge) Decide(now time.Time) (convicted []Verdict, next time.Time) {
-	j.crashes = slices.DeleteFunc(j.crashes, func(c *crash) bool { return now.After(c.at.Add(crashMemory)) })
-	maps.DeleteFunc(j.verdicts, func(_ Part, v Verdict) bool {
-		if v.Lifted {
-			return now.After(v.ExpiresAt())
-		}
-		return now.After(v.ExpiresAt().Add(relapseMemory))
-	})
-	j.announce(now)
+	if !j.changed && now.Before(j.recheckAt) && (j.nextAt.IsZero() || now.Before(j.nextAt)) {
+		return nil, j.nextAt
+	}
+	j.forget(now)
+	counts := j.crashCounts(now)
+	j.announce(now, counts)
 	for {
-		p, at := j.nextConviction(now)
+		p, at := j.nextConviction(now, counts)
 		if at.IsZero() || now.Before(at) {
+			j.changed, j.nextAt, j.recheckAt = len(convicted) > 0, at, now.Add(recheckInterval)
 			return convicted, at
 		}
-		v := Verdict{Part: p, DecidedAt: j.decisionTime(now, p), CrashCount: j.crashCounts(now)[p].all}
+		v := Verdict{Part: p, DecidedAt: j.decisionTime(now, p), CrashCount: counts[p].all}
 		j.liftExplainedBy(now, p)
 		j.setVerdict(v)
 		convicted = append(convicted, v)
+		counts = j.crashCounts(now)
 	}
 }
 
+// forget drops evidence and verdicts that no longer count.
+func (j *Judge) forget(now time.Time) {
+	j.crashes = slices.DeleteFunc(j.crashes, func(c *crash) bool { return now.After(c.at.Add(crashMemory)) })
+	maps.DeleteFunc(j.verdicts, func(_ Part, v Verdict) bool {
+		if v.Lifted {
+			return now.After(v.ExpiresAt())
+		}
+		return now.After(v.ExpiresAt().Add(relapseMemory))
+	})
+}
+
 // decisionTime returns the time of a conviction that is decided now: later if the part was acquitted
 // so lately that processes would not take the conviction for the newer verdict.
 func (j *Judge) decisionTime(now time.Time, p Part) time.Time {
@@ -179,28 +200,19 @@
 }
 
 // nextConviction returns the part that is to be convicted next, and the earliest time of that;
-// zero if there is none. If several parts were in the same crashes, the one that is deepest in
-// its prompts comes first: it has fewer prompts than the parts before it, and if one of these is the
-// cause, crashes go on without the convicted part.
-func (j *Judge) nextConviction(now time.Time) (Part, time.Time) {
-	counts := j.crashCounts(now)
+// zero if there is none.
+func (j *Judge) nextConviction(now time.Time, counts map[Part]crashCount) (Part, time.Time) {
 	var candidates []Part
-	for p, n := range counts {
-		if !j.verdicts[p].InForce(now) && j.crashesMissing(p, n) <= 0 {
+	for p := range j.announcedAt {
+		if n := counts[p]; n.all > 0 && !j.verdicts[p].InForce(now) && j.crashesMissing(p, n) <= 0 {
 			candidates = append(candidates, p)
 		}
 	}
 	if len(candidates) == 0 {
 		return 0, time.Time{}
 	}
-	p := slices.MinFunc(candidates, func(a, b Part) int {
-		return cmp.Or(cmp.Compare(counts[b].all, counts[a].all), cmp.Compare(j.depth(b), j.depth(a)), cmp.Compare(a, b))
-	})
-	since, ok := j.announcedAt[p]
-	if !ok {
-		return 0, time.Time{}
-	}
-	return p, since.Add(objectionTime)
+	p := slices.MinFunc(candidates, byCrashes(counts))
+	return p, j.announcedAt[p].Add(objectionTime)
 }
 
 // liftExplainedBy lifts the convictions of parts that were in at most one crash without a part that
@@ -218,21 +230,14 @@
 	}
 }
 
-// depth returns the depth of a suspect in its prompts.
-func (j *Judge) depth(p Part) int {
-	depth := 0
-	for _, c := range j.crashes {
-		if s, ok := c.suspects[p]; ok {
-			depth = max(depth, s.Depth)
-		}
-	}
-	return depth
-}
-
 // crashCount is the number of a suspect's crashes one after the other.
 type crashCount struct {
 	// all is the number of all crashes, unexplained of those in which no convicted part was.
 	all, unexplained int
+	// lastAt is the time of the last one.
+	lastAt time.Time
+	// depth is the greatest depth of the part in its prompts.
+	depth int
 }
 
 // crashesMissing returns the number of further crashes after which a part is convicted. Crashes
@@ -253,12 +258,11 @@
 // Endpoints that go down together count as one crash.
 func (j *Judge) crashCounts(now time.Time) map[Part]crashCount {
 	counts := make(map[Part]crashCount)
-	lastAt := make(map[Part]time.Time)
 	for _, c := range j.crashes {
 		explained := j.isExplained(c, now)
 		for p, s := range c.suspects {
 			n := counts[p]
-			isNext := n.all == 0 || s.SentAt.After(lastAt[p]) && c.at.After(lastAt[p].Add(herdSpread))
+			isNext := n.all == 0 || s.SentAt.After(n.lastAt) && c.at.After(n.lastAt.Add(herdSpread))
 			if !isNext || !c.isSuspect(p) || j.isUsedUp(p, c.at) {
 				continue
 			}
@@ -266,7 +270,8 @@
 			if !explained {
 				n.unexplained++
 			}
-			counts[p], lastAt[p] = n, c.at
+			n.lastAt, n.depth = c.at, max(n.depth, s.Depth)
+			counts[p] = n
 		}
 	}
 	return counts
@@ -293,19 +298,34 @@
 }
 
 // announce updates the announced suspects: those that one more crash would convict, or that are
-// to be convicted.
-func (j *Judge) announce(now time.Time) {
-	counts := j.crashCounts(now)
-	maps.DeleteFunc(counts, func(p Part, n crashCount) bool { return n.unexplained == 0 || j.crashesMissing(p, n) > 1 })
-	maps.DeleteFunc(j.announcedAt, func(p Part, _ time.Time) bool { return counts[p].all == 0 })
-	parts := slices.SortedFunc(maps.Keys(counts), func(a, b Part) int {
-		return cmp.Or(cmp.Compare(counts[b].all, counts[a].all), cmp.Compare(a, b))
-	})
-	for _, p := range parts {
-		if _, ok := j.announcedAt[p]; !ok && len(j.announcedAt) < maxAnnounced {
-			j.announcedAt[p] = now
+// to be convicted. If there are too many, those are announced that come first in this.
+func (j *Judge) announce(now time.Time, counts map[Part]crashCount) {
+	var parts []Part
+	for p, n := range counts {
+		if n.unexplained > 0 && j.crashesMissing(p, n) <= 1 {
+			parts = append(parts, p)
 		}
 	}
+	slices.SortFunc(parts, byCrashes(counts))
+	before := j.announcedAt
+	j.announcedAt = make(map[Part]time.Time)
+	for _, p := range parts[:min(len(parts), maxAnnounced)] {
+		at, ok := before[p]
+		if !ok {
+			at = now
+		}
+		j.announcedAt[p] = at
+	}
+}
+
+// byCrashes returns the order in which suspects are convicted. If several parts were in the same
+// crashes, the one that is deepest in its prompts comes first: it has fewer prompts than the parts
+// before it, and if one of these is the cause, crashes go on without the convicted part.
+func byCrashes(counts map[Part]crashCount) func(a, b Part) int {
+	return func(a, b Part) int {
+		m, n := counts[a], counts[b]
+		return cmp.Or(cmp.Compare(n.all, m.all), cmp.Compare(n.depth, m.depth), cmp.Compare(a, b))
+	}
 }
 
 // Suspects returns the announced suspects without those that are convicted, sorted.
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -268,6 +268,24 @@
 	}
 }
 
+// Guards against suspects that keep others from being announced and convicted, as there are too many
+// of them.
+func TestPartBesideManySuspectsIsConvicted(t *testing.T) {
+	j := NewJudge()
+	many := lo.Map(lo.Range(maxSuspects), func(n, _ int) Part { return Part(1000 + n) })
+	for i := range 2 {
+		crashedAt := time.Duration(i) * time.Second
+		j.AddCrash(crashWith(fmt.Sprint("e", i), crashedAt, many...))
+		j.Decide(at(crashedAt))
+	}
+	for i := range 3 {
+		crashedAt := time.Duration(2+i) * time.Second
+		j.AddCrash(crashWith(fmt.Sprint("f", i), crashedAt, 1))
+		j.Decide(at(crashedAt))
+	}
+	assert.Equal(t, []Part{1}, decideAll(j, at(5*time.Second)))
+}
+
 func TestLiftedPartNeedsNewCrashes(t *testing.T) {
 	j := NewJudge()
 	for i := range 3 {
@@ -396,3 +414,39 @@
 	assert.True(t, v.Supersedes(lifted))
 	assert.True(t, v.InForce(at(2*time.Second)))
 }
+
+// Verdicts that are older than all others must not replace these if there are too many.
+func TestNewestVerdictsAreKept(t *testing.T) {
+	j := NewJudge()
+	for i := range 2 * maxVerdicts {
+		j.AddVerdict(Verdict{Part: Part(i), DecidedAt: at(-time.Duration(i) * time.Second)})
+	}
+	assert.Len(t, j.verdicts, maxVerdicts)
+	assert.Contains(t, j.verdicts, Part(0))
+	assert.NotContains(t, j.verdicts, Part(2*maxVerdicts-1))
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for name, report := range map[string]bool{"full tables": false, "full tables, new report": true} {
+		b.Run(name, func(b *testing.B) {
+			j := NewJudge()
+			for i := range maxCrashes {
+				c := Crash{Instance: fmt.Sprint("e", i), At: at(time.Duration(i) * time.Second)}
+				for n := range maxSuspects {
+					c.Suspects = append(c.Suspects, begun(Part(1+i/2*maxSuspects+n), time.Duration(i)*time.Second))
+				}
+				j.AddCrash(c)
+			}
+			for i := range maxVerdicts {
+				j.AddVerdict(Verdict{Part: Part(1_000_000 + i), DecidedAt: start})
+			}
+			now := at(maxCrashes * time.Second)
+			for b.Loop() {
+				if report {
+					j.AddCrash(crashWith("e1", time.Second, 1))
+				}
+				j.Decide(now)
+			}
+		})
+	}
+}
