--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -259,3 +259,33 @@
 	router.arriveWithPrompt("shared", "deadly", "own")
 	onlyEffect[Send](router)
 }
+
+// Guards against callers that are told to try again, as the conviction came during the last attempt
+// or when the retry budget was used up.
+func TestConvictionDuringLastAttemptIsTold(t *testing.T) {
+	router := newPromptRouter(t)
+	id := router.arriveWithPrompt("shared", "deadly", "own")
+	router.loseAttempt(id)
+	onlyEffect[Send](router)
+	router.reportVerdicts("e1", poison.Verdict{Part: poison.PartOf(llm, "deadly"), DecidedAt: router.now, CrashCount: 3})
+	onlyEffect[AbortAttempt](router)
+	router.endAttempt(id, Broken)
+	assert.Equal(t, Fail{ID: id, Reason: PromptCrashes}, onlyEffect[Fail](router))
+}
+
+// Guards against endpoints that are avoided because the router has aborted attempts there itself.
+func TestAbortOfConvictedRequestsIsNoFailureOfEndpoint(t *testing.T) {
+	router := newPromptRouter(t)
+	var ids []RequestID
+	for range 30 {
+		ids = append(ids, router.arriveWithPrompt("shared", "deadly", "own"))
+	}
+	router.reportVerdicts("e1", poison.Verdict{Part: poison.PartOf(llm, "deadly"), DecidedAt: router.now, CrashCount: 3})
+	for _, id := range ids {
+		router.endAttempt(id, Broken)
+	}
+	for _, e := range router.state.endpoints {
+		assert.Zero(t, e.failureRate, e.Instance)
+		assert.False(t, router.now.Before(e.ejectedUntil), e.Instance)
+	}
+}
