core/relay: refuse a request whose part is convicted during its last attempt

A request whose attempt broke off after the verdict, by the crash or by the router's own abort, ended as attempts-failed if it had no attempt left, so that its caller repeated it; and the abort counted against the endpoint, which was ejected (failure rate 0.89 after ten of them). The verdict is looked at first now.

TestAbortOfConvictedRequestsIsNoFailureOfEndpoint and TestConvictionDuringLastAttemptIsTold failed before.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -46,8 +46,12 @@
 	case Shed:
 		s.retryOrRefuse(r, e)
 	case Broken, Failed:
-		e.recordOutcome(true, s.now)
 		r.possibleRunCount++
+		if s.refuseIfConvicted(r) {
+			// The part is the cause, or the router has aborted the attempt for it.
+			break
+		}
+		e.recordOutcome(true, s.now)
 		s.retryOrFail(r, e)
 	}
 	s.dispatchWaiting()
