core/relay: tell an agent the same verdicts at most every 10 s

An agent of the version before never reports verdicts, and one whose table is full drops some: a router told the first the same verdict 50 times in 15 s, the second 13 times in 12 s. Verdicts that an agent lacks are told again after 10 s now, or at once if it has an older one on the part. A router keeps 256 verdicts, as an agent does; before, as many as agents reported (10240 in the test).

TestVerdictsBesideOlderAgent, TestVerdictsOfFullTableAreNotToldAgainAndAgain and TestVerdictsOfRouterAreBounded failed before.

--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"chervilreach/core/poison"
 	"chervilreach/core/quota"
 	"chervilreach/core/stock"
 )
@@ -89,7 +90,9 @@
 	toldCrashCount int
 	// objectedAt is the time at which the agent was last told of answered prompt parts.
 	objectedAt time.Time
-	// toldVerdictsAt is the time at which the agent was last told verdicts on prompt parts.
+	// toldVerdicts are the verdicts on prompt parts that the agent was last told, toldVerdictsAt the
+	// time of it.
+	toldVerdicts   []poison.Verdict
 	toldVerdictsAt time.Time
 }
 
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -183,7 +183,7 @@
 func (s *State) handleAgentLost(ev AgentLost) {
 	if e := s.endpoint(ev.Instance); e != nil {
 		e.hasAgent, e.toldCrashCount = false, 0
-		e.lastDemand = stock.Demand{}
+		e.lastDemand, e.toldVerdicts = stock.Demand{}, nil
 		s.unassignLoads(ev.Instance)
 	}
 }
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -23,6 +23,11 @@
 	answerSettleTime = 200 * time.Millisecond
 	// verdictInterval is the shortest time between two reports of verdicts to one agent.
 	verdictInterval = 200 * time.Millisecond
+	// verdictRetryInterval is the time after which an agent that still lacks the same verdicts, and has
+	// no older ones on their parts, is told them again. It may be of a version without verdicts.
+	verdictRetryInterval = 10 * time.Second
+	// maxVerdicts is the maximum number of verdicts that the router remembers, as many as an agent does.
+	maxVerdicts = 256
 	// crashResendTime is how long a crash is reported to agents that become judges.
 	crashResendTime = time.Minute
 	// objectionInterval is the shortest time between two reports of answered parts to one agent.
@@ -254,18 +259,24 @@
 		return
 	}
 	var lacking []poison.Verdict
+	outdated := false
 	for _, part := range slices.Sorted(maps.Keys(s.poison.verdicts)) {
 		v := s.poison.verdicts[part]
 		if !s.now.Before(v.ExpiresAt()) {
 			delete(s.poison.verdicts, part)
 			continue
 		}
-		if !slices.ContainsFunc(e.Stock.Verdicts, func(known poison.Verdict) bool { return known.Part == part && !v.Supersedes(known) }) {
+		i := slices.IndexFunc(e.Stock.Verdicts, func(known poison.Verdict) bool { return known.Part == part })
+		if i < 0 || v.Supersedes(e.Stock.Verdicts[i]) {
 			lacking = append(lacking, v)
+			outdated = outdated || i >= 0
 		}
 	}
+	if !outdated && slices.EqualFunc(lacking, e.toldVerdicts, poison.Verdict.Equal) && s.now.Before(e.toldVerdictsAt.Add(verdictRetryInterval)) {
+		return
+	}
 	if len(lacking) > 0 {
-		e.toldVerdictsAt = s.now
+		e.toldVerdicts, e.toldVerdictsAt = lacking, s.now
 		s.emit(ReportVerdicts{Agent: e.Instance, Verdicts: lacking})
 	}
 }
@@ -288,7 +299,8 @@
 		if old, ok := s.poison.verdicts[v.Part]; ok && !v.Supersedes(old) {
 			continue
 		}
-		s.poison.verdicts[v.Part], changed = v, true
+		s.poison.setVerdict(v)
+		changed = true
 		s.emit(VerdictChanged{Verdict: v, Source: e.Instance})
 	}
 	if len(answered) > 0 && !s.now.Before(e.objectedAt.Add(objectionInterval)) {
@@ -324,6 +336,17 @@
 	s.spreadVerdictsToAll()
 }
 
+// setVerdict sets a verdict. If there are too many, the oldest one is dropped.
+func (p *poisonState) setVerdict(v poison.Verdict) {
+	p.verdicts[v.Part] = v
+	if len(p.verdicts) > maxVerdicts {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(p.verdicts)), func(a, b poison.Verdict) int {
+			return cmp.Or(a.DecidedAt.Compare(b.DecidedAt), cmp.Compare(a.Part, b.Part))
+		})
+		delete(p.verdicts, oldest.Part)
+	}
+}
+
 // abortConvicted aborts the attempts of requests with convicted parts that have no answer yet.
 func (s *State) abortConvicted() {
 	for _, r := range s.sortedRequests() {
