core/relay: forget that an endpoint is down with the agent that told so

Once an agent that had found its endpoint's port closed was lost, the endpoint stayed down for the router until its list entry changed: it got no request, and each cut connection to it counted as a crash. What the list says counts now when the agent is lost. Found in review, not seen in a run.

TestEndpointIsUsedAgainAfterItsAgentIsLost and TestStaleDownReportMakesNoCrash failed before.

--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -183,6 +183,10 @@
 func (s *State) handleAgentLost(ev AgentLost) {
 	if e := s.endpoint(ev.Instance); e != nil {
 		e.hasAgent, e.toldCrashCount = false, 0
+		if e.Stock.Down {
+			// Only the agent can tell that the endpoint is back.
+			s.updateStock(e, func() { e.Stock = e.listedStock })
+		}
 		e.lastDemand, e.toldVerdicts = stock.Demand{}, nil
 		s.unassignLoads(ev.Instance)
 	}
--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -289,3 +289,33 @@
 		assert.False(t, router.now.Before(e.ejectedUntil), e.Instance)
 	}
 }
+
+// Guards against an endpoint that is taken for down for good, as its agent was lost after a refused
+// poll.
+func TestEndpointIsUsedAgainAfterItsAgentIsLost(t *testing.T) {
+	entry := testEntry("e1", llm)
+	entry.Stock.Models = []stock.LoadedModel{{Model: "a"}}
+	router := newTestRouter(t, entry)
+	router.report("e1", withModels("a"))
+	router.reportDown("e1")
+	router.apply(AgentLost{Instance: "e1"})
+	router.now = router.now.Add(time.Minute)
+	router.listEndpoints(entry)
+	router.arriveWithPrompt("shared", "own")
+	assert.Len(t, effectsOf[Send](router), 1, "%v", router.effects)
+}
+
+// Guards against cut connections that count as the crash of an endpoint whose agent, since lost, has
+// reported it down.
+func TestStaleDownReportMakesNoCrash(t *testing.T) {
+	entry := testEntry("e1", llm)
+	entry.Stock.Models = []stock.LoadedModel{{Model: "a"}}
+	router := newTestRouter(t, entry)
+	router.report("e1", withModels("a"))
+	id := router.arriveWithPrompt("shared", "rare", "own")
+	router.reportDown("e1")
+	router.apply(AgentLost{Instance: "e1"})
+	router.now = router.now.Add(10 * time.Second)
+	router.loseAttempt(id)
+	assert.Empty(t, effectsOf[EndpointCrashed](router))
+}
