io/drain: let tests delay only the reads of requests

The reads of one byte with which net/http watches a caller during its request were delayed too, so that a test could wait for the wrong read.

--- a/io/drain/drain_test.go
+++ b/io/drain/drain_test.go
@@ -27,8 +27,10 @@
 	closeOnce sync.Once
 	closed    chan struct{}
 	accepted  chan struct{}
-	// gate delays the reads that begin while it is locked.
-	gate sync.Mutex
+	// gate delays the reads that begin while it is locked, except those of one byte, with which
+	// net/http watches a caller during its request. atGate is the number of delayed reads.
+	gate   sync.Mutex
+	atGate atomic.Int64
 	// bytesRead is the number of bytes that all connections have read.
 	bytesRead atomic.Int64
 	// unread is the number of connections that were closed with unread data.
@@ -55,8 +57,12 @@
 }
 
 func (c *testConn) Read(p []byte) (int, error) {
-	c.l.gate.Lock()
-	c.l.gate.Unlock() //nolint:staticcheck // The critical section is empty: the gate only delays.
+	if len(p) > 1 {
+		c.l.atGate.Add(1)
+		c.l.gate.Lock()
+		c.l.atGate.Add(-1)
+		c.l.gate.Unlock()
+	}
 	n, err := c.TCPConn.Read(p)
 	c.l.bytesRead.Add(int64(n))
 	return n, err
@@ -69,16 +75,22 @@
 	return c.TCPConn.Close()
 }
 
+// newServer returns a server with long timeouts, except that it closes connections without a
+// request after idleTimeout during a drain.
+func newServer(idleTimeout time.Duration, handler http.HandlerFunc) *Server {
+	s := New(&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute})
+	s.idleTimeout = idleTimeout
+	return s
+}
+
 // serve starts a server. The function that it returns begins to drain the server, and waits
 // for the end of the drain at the end of the test.
-func serve(t *testing.T, idleTimeout time.Duration, handler http.HandlerFunc) (l *testListener, startDrain func()) {
+func serve(t *testing.T, s *Server) (l *testListener, startDrain func()) {
 	t.Helper()
 	var lc net.ListenConfig
 	tcp, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l = &testListener{Listener: tcp, closed: make(chan struct{}), accepted: make(chan struct{}, 1000)}
-	s := New(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute})
-	s.idleTimeout = idleTimeout
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	return l, func() {
@@ -154,7 +166,7 @@
 		"being read":                     {true, 0, false, testRequest[:20], testRequest[20:]},
 		"two bytes read":                 {true, 0, false, testRequest[:2], testRequest[2:]},
 		"in the receive buffer":          {true, 0, true, testRequest, ""},
-		"in part in the receive buffer":  {true, 0, true, testRequest[:1], testRequest[1:]},
+		"in part in the receive buffer":  {true, 0, true, testRequest[:2], testRequest[2:]},
 		"sent soon after the answer":     {true, time.Minute, false, "", testRequest},
 		"sent soon after the connection": {false, time.Minute, false, "", testRequest},
 		"being read on a new connection": {false, 0, false, testRequest[:20], testRequest[20:]},
@@ -163,11 +175,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var l *testListener
-			l, startDrain := serve(t, tt.idleTimeout, func(http.ResponseWriter, *http.Request) {
+			l, startDrain := serve(t, newServer(tt.idleTimeout, func(http.ResponseWriter, *http.Request) {
 				if tt.delayed {
 					l.gate.Lock()
 				}
-			})
+			}))
 			c := dial(t, l)
 			<-l.accepted
 			if tt.kept {
@@ -175,9 +187,9 @@
 			}
 			read := l.bytesRead.Load()
 			require.NoError(t, c.send(tt.before))
-			if !tt.delayed {
-				require.Eventually(t, func() bool { return l.bytesRead.Load() == read+int64(len(tt.before)) }, 5*time.Second, time.Millisecond)
-			}
+			require.Eventually(t, func() bool {
+				return l.atGate.Load() == 1 || l.bytesRead.Load() == read+int64(len(tt.before))
+			}, 5*time.Second, time.Millisecond)
 			startDrain()
 			<-l.closed
 			// The drain passes over the connections several times.
@@ -203,7 +215,7 @@
 		// spread is the time around the start of the drain in which the requests are sent.
 		spread = 6 * time.Millisecond
 	)
-	l, startDrain := serve(t, 0, func(http.ResponseWriter, *http.Request) {})
+	l, startDrain := serve(t, newServer(0, func(http.ResponseWriter, *http.Request) {}))
 	clients := make([]*testClient, callers)
 	for i := range clients {
 		clients[i] = dial(t, l)
@@ -269,8 +281,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute})
-			s.idleTimeout = tt.idleTimeout
+			s := newServer(tt.idleTimeout, func(http.ResponseWriter, *http.Request) {})
 			var lc net.ListenConfig
 			l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 			require.NoError(t, err)
