core/relay: tell crashes from network faults by what answers next

An endpoint that crashed and was back under another name before anything was refused there made no crash, so that its suspects were forgotten; a connection that a network fault refused made one, though the endpoint's agent had reported it up since. Another instance that answers at the address or is listed there now confirms the crash, and a refused connection does not if the agent has reported the endpoint up after the loss.

TestCrashIsFoundWithoutTheAgent, in its two new cases, and TestRefusedConnectionToLiveEndpointIsNoCrash failed before.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -33,11 +33,14 @@
 	case Unsent:
 		e.recordOutcome(true, s.now)
 		e.ejectedUntil = s.now.Add(unreachableDuration)
-		if ev.Refused && !e.Leaving {
+		if ev.Refused && !e.Leaving && !e.reportedUpSince(e.lastLostAt()) {
 			s.reportCrash(e)
 		}
 		s.retryOrRefuse(r, e)
 	case Replaced:
+		if !e.Leaving {
+			s.reportCrash(e)
+		}
 		e.Leaving = true
 		s.retryOrRefuse(r, e)
 	case ModelMissing:
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -34,9 +34,13 @@
 	for _, id := range slices.Sorted(maps.Keys(old)) {
 		s.index.drop(old[id])
 		s.dropLimit(old[id])
+		wasLeaving := old[id].Leaving
 		old[id].Leaving = true
 		s.unassignLoads(id)
 		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
+			if !wasLeaving {
+				s.reportCrash(old[id])
+			}
 			s.abortAttempts(old[id])
 		}
 	}
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -132,6 +132,20 @@
 	}
 }
 
+// lastLostAt returns the time at which the last attempt was lost that a crash may have ended; zero if
+// there is none.
+func (e *endpoint) lastLostAt() time.Time {
+	if len(e.lostAttempts) == 0 {
+		return time.Time{}
+	}
+	return e.lostAttempts[len(e.lostAttempts)-1].lostAt
+}
+
+// reportedUpSince reports whether the endpoint's agent has reported it as up since the given time.
+func (e *endpoint) reportedUpSince(at time.Time) bool {
+	return e.hasAgent && !e.Stock.Down && e.reportedAt.After(at)
+}
+
 // reportCrash reports the crash of an endpoint to the judges, with the parts of the requests that
 // were lost in it. It does nothing if the router has lost none.
 func (s *State) reportCrash(e *endpoint) {
--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -138,6 +138,14 @@
 			id := router.arriveWithPrompt("shared", "else", "own-2")
 			router.apply(AttemptEnded{ID: id, Result: Unsent, LastEvent: NoEvent, Refused: true})
 		},
+		"another instance answers": func(router *testRouter, _ string) {
+			router.endAttempt(router.arriveWithPrompt("shared", "else", "own-2"), Replaced)
+		},
+		"another instance listed at the address": func(router *testRouter, _ string) {
+			e := testEntry("e9", llm)
+			e.Born = 2
+			router.listEndpoints(e)
+		},
 		"new incarnation listed": func(router *testRouter, _ string) {
 			router.listEndpoints(lo.Map(router.list, func(e EndpointEntry, _ int) EndpointEntry {
 				e.Born = 2
@@ -319,3 +327,17 @@
 	router.loseAttempt(id)
 	assert.Empty(t, effectsOf[EndpointCrashed](router))
 }
+
+// Guards against connections that a network fault resets and refuses being taken for a crash of an
+// endpoint that its agent reports as up.
+func TestRefusedConnectionToLiveEndpointIsNoCrash(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", llm))
+	router.report("e1", withModels("a"))
+	id := router.arriveWithPrompt("shared", "rare", "own")
+	next := router.arriveWithPrompt("other")
+	router.loseAttempt(id)
+	router.now = router.now.Add(time.Second)
+	router.report("e1", withModels("a"))
+	router.apply(AttemptEnded{ID: next, Result: Unsent, LastEvent: NoEvent, Refused: true})
+	assert.Empty(t, effectsOf[ReportCrashes](router))
+}
