core/relay: object to each suspect and spread each verdict at once

Objections to one agent were at least 500 ms apart, and verdicts 200 ms, whatever they were about: a sound part could be convicted as the router had objected to another one less than the 400 ms before in which objections count, and a second verdict waited for the agents' next reports, which take seconds in large fleets. Only the same parts wait now, and new verdicts go out at once.

TestSecondSuspectIsObjectedToAtOnce and TestSecondVerdictSpreadsAtOnce failed before.

--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -88,7 +88,8 @@
 	// toldCrashCount is the number of the router's crashes (poisonState.crashCount) when the agent
 	// was last told the recent ones.
 	toldCrashCount int
-	// objectedAt is the time at which the agent was last told of answered prompt parts.
+	// objectedTo are the answered prompt parts that the agent was last told, objectedAt the time of it.
+	objectedTo []poison.Part
 	objectedAt time.Time
 	// toldVerdicts are the verdicts on prompt parts that the agent was last told, toldVerdictsAt the
 	// time of it.
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"chervilreach/core/poison"
 	"chervilreach/core/stock"
@@ -30,7 +31,8 @@
 	maxVerdicts = 256
 	// crashResendTime is how long a crash is reported to agents that become judges.
 	crashResendTime = time.Minute
-	// objectionInterval is the shortest time between two reports of answered parts to one agent.
+	// objectionInterval is the shortest time between two reports of the same answered parts to one
+	// agent.
 	objectionInterval = 500 * time.Millisecond
 	// maxLostAttempts and maxRecentCrashes bound the memory for crashes: the number of lost attempts
 	// at one endpoint, and of crashes.
@@ -317,8 +319,8 @@
 		changed = true
 		s.emit(VerdictChanged{Verdict: v, Source: e.Instance})
 	}
-	if len(answered) > 0 && !s.now.Before(e.objectedAt.Add(objectionInterval)) {
-		e.objectedAt = s.now
+	if isNew := len(lo.Without(answered, e.objectedTo...)) > 0; isNew || len(answered) > 0 && !s.now.Before(e.objectedAt.Add(objectionInterval)) {
+		e.objectedTo, e.objectedAt = answered, s.now
 		s.emit(ReportAnswered{Judge: e.Instance, Parts: answered})
 	}
 	if !changed {
@@ -329,10 +331,12 @@
 	s.dispatchWaiting()
 }
 
-// spreadVerdictsToAll tells each connected agent the verdicts that its last report lacks.
+// spreadVerdictsToAll tells each connected agent the verdicts that its last report lacks, without
+// regard to the time at which it was last told some.
 func (s *State) spreadVerdictsToAll() {
 	for _, e := range s.endpoints {
 		if e.hasAgent {
+			e.toldVerdictsAt = time.Time{}
 			s.spreadVerdicts(e)
 		}
 	}
--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -341,3 +341,33 @@
 	router.apply(AttemptEnded{ID: next, Result: Unsent, LastEvent: NoEvent, Refused: true})
 	assert.Empty(t, effectsOf[ReportCrashes](router))
 }
+
+// Guards against a sound suspect that is convicted because the router has objected to another one
+// just before.
+func TestSecondSuspectIsObjectedToAtOnce(t *testing.T) {
+	router := newPromptRouter(t)
+	router.endAttempt(router.arriveWithPrompt("first", "second", "own"), Done)
+	for _, id := range []string{"first", "second"} {
+		part := poison.PartOf(llm, id)
+		router.report("e1", func(r *stock.Report) { r.Suspects = []poison.Part{part} })
+		assert.Equal(t, []poison.Part{part}, onlyEffect[ReportAnswered](router).Parts)
+		router.report("e1", func(r *stock.Report) { r.Suspects = []poison.Part{part} })
+		assert.Empty(t, effectsOf[ReportAnswered](router), "told already")
+		router.now = router.now.Add(100 * time.Millisecond)
+	}
+}
+
+// Guards against a verdict that waits for the next reports of agents that were told another one just
+// before.
+func TestSecondVerdictSpreadsAtOnce(t *testing.T) {
+	router := newPromptRouter(t)
+	v1 := poison.Verdict{Part: 1, DecidedAt: router.now, CrashCount: 3}
+	router.reportVerdicts("e1", v1)
+	require.Len(t, effectsOf[ReportVerdicts](router), 2)
+	router.now = router.now.Add(100 * time.Millisecond)
+	router.reportVerdicts("e1", v1, poison.Verdict{Part: 2, DecidedAt: router.now, CrashCount: 3})
+	for _, eff := range effectsOf[ReportVerdicts](router) {
+		assert.True(t, poison.Includes(eff.Verdicts, 2), eff.Agent)
+	}
+	assert.Len(t, effectsOf[ReportVerdicts](router), 2)
+}
