core/relay: follow judges before the agents of the baseline

A router of a large fleet follows at most 48 agents, four for each service to begin with: with eight services or more, none of the three that judge was among them, so that crashes were reported to nobody. Judges come first now, those of the services with recent crashes.

TestJudgesAreFollowedBesideManyServices failed before with 8, 11, 12 and 16 services.

--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -217,14 +217,13 @@
 	return list
 }
 
-// judgeCandidates returns the endpoints to follow because their agents judge prompt parts. None
-// are followed if the router has no recent crashes to report.
+// judgeCandidates returns the endpoints to follow because their agents judge prompt parts: those of
+// the services of which the router has recent crashes to report.
 func (s *State) judgeCandidates() []followCandidate {
-	if len(s.recentCrashes()) == 0 {
-		return nil
-	}
+	services := lo.Map(s.recentCrashes(), func(c recentCrash, _ int) string { return c.service })
+	slices.Sort(services)
 	var candidates []followCandidate
-	for _, service := range slices.Sorted(maps.Keys(s.index.rings)) {
+	for _, service := range slices.Compact(services) {
 		for _, e := range s.judges(service) {
 			candidates = append(candidates, followCandidate{e, alwaysFollowedWeight})
 		}
--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chervilreach/core/poison"
+	"chervilreach/core/route"
 	"chervilreach/core/stock"
 )
 
@@ -371,3 +374,53 @@
 	}
 	assert.Len(t, effectsOf[ReportVerdicts](router), 2)
 }
+
+// Guards against judges that are not followed because other services take all places.
+func TestJudgesAreFollowedBesideManyServices(t *testing.T) {
+	for _, services := range []int{2, 8, 11, 12, 16} {
+		t.Run(fmt.Sprint(services, " services"), func(t *testing.T) {
+			engine := testTable().Engine(llm)
+			list := []*route.Service{{Name: llm, Engine: engine}}
+			for i := 1; i < services; i++ {
+				list = append(list, &route.Service{Name: fmt.Sprintf("a%02d", i), Engine: engine})
+			}
+			router := &testRouter{t: t, now: time.UnixMilli(1_000_000), state: New(Settings{
+				Process: "p", FailureDomain: "here", RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+			})}
+			router.apply(RoutesAdopted{Table: route.NewTable(1, route.Limits{}, nil, list)})
+			var entries []EndpointEntry
+			for i := range services * 30 {
+				e := testEntry(fmt.Sprintf("e%04d", i), list[i%services].Name)
+				e.HasModels = true
+				e.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+				e.Stock.Models = []stock.LoadedModel{{Model: "a"}}
+				entries = append(entries, e)
+			}
+			for len(entries) <= followAllLimit {
+				i := len(entries)
+				e := testEntry(fmt.Sprintf("e%04d", i), llm)
+				e.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80)
+				e.Stock.Models = []stock.LoadedModel{{Model: "a"}}
+				entries = append(entries, e)
+			}
+			router.listEndpoints(entries...)
+			router.now = router.now.Add(2 * time.Second)
+			router.arriveWithPrompt("shared", "deadly", "own")
+			send := onlyEffect[Send](router)
+			router.loseAttempt(router.lastID)
+			for id, r := range router.state.requests {
+				if r.target != nil {
+					router.endAttempt(id, Done)
+				}
+			}
+			e := router.state.endpoint(send.Instance)
+			router.state.now, router.state.effects = router.now, nil
+			router.state.reportCrash(e)
+			router.advance(followInterval)
+			for _, judge := range router.state.judges(llm) {
+				_, ok := router.state.followed[judge.Instance]
+				assert.True(t, ok, judge.Instance)
+			}
+		})
+	}
+}
--- a/core/relay/targets.go
+++ b/core/relay/targets.go
@@ -42,13 +42,13 @@
 }
 
 // followTargets returns the at most maxFollowed endpoints whose agents are to be followed,
-// sorted by instance. If there are too many, the baseline and the endpoints that have been
-// asked for loads come first, then the endpoints for the requested models, in proportion to
+// sorted by instance. If there are too many, the judges, the baseline and the endpoints that have
+// been asked for loads come first, then the endpoints for the requested models, in proportion to
 // the requests.
 func (s *State) followTargets() []*endpoint {
-	candidates := append(s.baselineCandidates(), s.loaderCandidates()...)
+	candidates := append(s.judgeCandidates(), s.baselineCandidates()...)
+	candidates = append(candidates, s.loaderCandidates()...)
 	candidates = append(candidates, s.limitedCandidates()...)
-	candidates = append(candidates, s.judgeCandidates()...)
 	for _, model := range slices.Sorted(maps.Keys(s.modelTraffic)) {
 		candidates = append(candidates, s.modelCandidates(model, s.modelTraffic[model])...)
 	}
