core/relay, core/poison: bound the parts that a crash is reported with

Callers choose how many parts a prompt has. A long prompt made a router forget which parts are sound (8,192 are remembered), and a crash report had as many suspects as parts were lost; a judge kept the 256 with the lowest hashes, so that the cause could be left out. Routers look at the first 64 parts of a prompt and report 256 suspects, those first that the endpoint had begun to answer, and judges keep these before others. Found in review.

TestLongPromptDoesNotHideAnswers, TestReportOfCrashIsBounded and TestPartThatIsBeingAnsweredIsKeptAmongManySuspects failed before.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -90,7 +90,7 @@
 	known := j.crashOf(c)
 	for _, s := range c.Suspects {
 		old, ok := known.suspects[s.Part]
-		if !ok && len(known.suspects) >= maxSuspects {
+		if !ok && len(known.suspects) >= maxSuspects && (!s.Answering || !known.dropUnanswered()) {
 			continue
 		}
 		s.Answering, s.Depth = s.Answering || old.Answering, max(s.Depth, old.Depth)
@@ -102,6 +102,18 @@
 	}
 }
 
+// dropUnanswered drops a suspect whose request the endpoint had not begun to answer. It reports false
+// if there is none.
+func (c *crash) dropUnanswered() bool {
+	for _, p := range slices.Sorted(maps.Keys(c.suspects)) {
+		if !c.suspects[p].Answering {
+			delete(c.suspects, p)
+			return true
+		}
+	}
+	return false
+}
+
 // crashOf returns the crash that a router has reported, adding it if it is new.
 func (j *Judge) crashOf(c Crash) *crash {
 	for _, known := range j.crashes {
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -450,3 +450,19 @@
 		})
 	}
 }
+
+// Guards against a deadly part that is left out as the crash has many suspects.
+func TestPartThatIsBeingAnsweredIsKeptAmongManySuspects(t *testing.T) {
+	const deadly = Part(1 << 60)
+	j := NewJudge()
+	for i := range 3 {
+		crashedAt := time.Duration(i) * time.Second
+		c := Crash{Instance: fmt.Sprint("e", i), At: at(crashedAt)}
+		for n := range maxSuspects {
+			c.Suspects = append(c.Suspects, lost(Part(1000*i+n), crashedAt))
+		}
+		c.Suspects = append(c.Suspects, begun(deadly, crashedAt))
+		j.AddCrash(c)
+	}
+	assert.Equal(t, []Part{deadly}, decideAll(j, at(3*time.Second)))
+}
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -34,6 +34,11 @@
 	// objectionInterval is the shortest time between two reports of the same answered parts to one
 	// agent.
 	objectionInterval = 500 * time.Millisecond
+	// maxSharedParts is the number of parts at the beginning of a prompt that are looked at. Callers choose
+	// how many a prompt has.
+	maxSharedParts = 64
+	// maxReportedSuspects is the number of suspects that are reported of a crash, as many as a judge keeps.
+	maxReportedSuspects = 256
 	// maxLostAttempts and maxRecentCrashes bound the memory for crashes: the number of lost attempts
 	// at one endpoint, and of crashes.
 	maxLostAttempts  = 128
@@ -70,12 +75,12 @@
 }
 
 // sharedParts returns the parts of the request's prompt that other prompts may contain: all but
-// the last.
+// the last, at most maxSharedParts.
 func (r *request) sharedParts() []PromptPart {
 	if len(r.Prefix) < 2 {
 		return nil
 	}
-	return r.Prefix[:len(r.Prefix)-1]
+	return r.Prefix[:min(len(r.Prefix)-1, maxSharedParts)]
 }
 
 // convictedPart returns the verdict on a part of the request's prompt for which the request must be
@@ -172,7 +177,8 @@
 	s.followUpdatePending = s.followUpdatePending || s.followsSubset()
 }
 
-// suspectsOf merges the suspects of lost attempts, sorted by part.
+// suspectsOf merges the suspects of lost attempts, sorted by part. If there are too many, those of
+// requests that the endpoint had begun to answer are kept.
 func suspectsOf(lost []lostAttempt) []poison.Suspect {
 	merged := make(map[poison.Part]poison.Suspect)
 	for _, a := range lost {
@@ -187,6 +193,13 @@
 	for _, suspect := range merged {
 		list = append(list, suspect)
 	}
+	slices.SortFunc(list, func(a, b poison.Suspect) int {
+		if a.Answering != b.Answering {
+			return lo.Ternary(a.Answering, -1, 1)
+		}
+		return cmp.Compare(a.Part, b.Part)
+	})
+	list = list[:min(len(list), maxReportedSuspects)]
 	slices.SortFunc(list, func(a, b poison.Suspect) int { return cmp.Compare(a.Part, b.Part) })
 	return list
 }
--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -424,3 +424,40 @@
 		})
 	}
 }
+
+// Guards against one long prompt that makes the router forget which parts are sound.
+func TestLongPromptDoesNotHideAnswers(t *testing.T) {
+	router := newPromptRouter(t)
+	router.endAttempt(router.arriveWithPrompt("shared", "own"), Done)
+	for n := range 2 {
+		ids := lo.Map(lo.Range(5000), func(i, _ int) string { return fmt.Sprint(n, "-", i) })
+		router.endAttempt(router.arriveWithPrompt(ids...), Done)
+	}
+	assert.True(t, router.state.poison.answered.Recently(router.now, poison.PartOf(llm, "shared")))
+}
+
+// Guards against reports of crashes without bound, and against a part that is left out of them though
+// the endpoint had begun to answer its request.
+func TestReportOfCrashIsBounded(t *testing.T) {
+	router := newPromptRouter(t)
+	deadly := router.arriveWithPrompt("deadly", "own")
+	instance := onlyEffect[Send](router).Instance
+	ids := make(map[string][]RequestID)
+	for n := range 30 {
+		id := router.arriveWithPrompt(lo.Map(lo.Range(4000), func(i, _ int) string { return fmt.Sprint(n, "-", i) })...)
+		for _, send := range effectsOf[Send](router) {
+			ids[send.Instance] = append(ids[send.Instance], id)
+		}
+	}
+	require.Greater(t, len(ids[instance])*maxSharedParts, maxReportedSuspects)
+	for _, id := range ids[instance] {
+		router.loseAttempt(id)
+	}
+	router.apply(AttemptEnded{ID: deadly, Result: Broken, LastEvent: NoEvent, Cut: true, HeadReceived: true})
+	router.reportDown(instance)
+	reports := effectsOf[ReportCrashes](router)
+	require.NotEmpty(t, reports)
+	suspects := reports[0].Crashes[0].Suspects
+	assert.Len(t, suspects, maxReportedSuspects)
+	assert.True(t, lo.ContainsBy(suspects, func(s poison.Suspect) bool { return s.Part == poison.PartOf(llm, "deadly") }))
+}
