core/poison: count the crash of an instance once within 5 s

Reports of one crash were merged if they were up to 2 s apart, while routers confirm a crash for 5 s after an attempt was lost: one that had lost an attempt some seconds before made a second crash of it. Found in review. TestInstanceCrashesOnce failed before.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -25,7 +25,7 @@
 	objectionTime = 400 * time.Millisecond
 	// sameCrash is the largest difference between the times of one crash as seen by several
 	// routers.
-	sameCrash = 2 * time.Second
+	sameCrash = 5 * time.Second
 	// herdSpread is the largest difference between the times at which endpoints go down together.
 	herdSpread = 150 * time.Millisecond
 	// recheckInterval is the longest time between two decisions.
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -466,3 +466,13 @@
 	}
 	assert.Equal(t, []Part{deadly}, decideAll(j, at(3*time.Second)))
 }
+
+// Guards against the crash of one instance that counts twice, as one router lost an attempt there some
+// seconds before.
+func TestInstanceCrashesOnce(t *testing.T) {
+	j := NewJudge()
+	j.AddCrash(crashWith("a", 0, 1))
+	j.AddCrash(crashWith("a", 4*time.Second, 1))
+	j.AddCrash(crashWith("b", 5*time.Second, 1))
+	assert.Empty(t, decideAll(j, at(6*time.Second)))
+}
