soak: send prompts with parts that crash replicas

No soak had prompts.

Streams now have prompts: shared first parts, sessions, a last part of their own. For 8 to 16 s at a time, one in six has a deadly part at any depth but the last; replicas that crash on it start again after 1 to 3 s, beside all other faults. Checked: at most three requests with the part reach replicas later than 3 s after its fifth crash, from routers that were not disturbed for 3 s, and no request without one is refused as prompt-crashes-endpoints. An arrival does not count either if it was sent before the bound and a fault of the link to its replica may have held it up: a link that is dark delivers what it holds afterwards.

A run ends 3 s later, so that all replicas have started again.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -32,6 +32,8 @@
 // outcome is the result of one request as its caller observed it.
 type outcome struct {
 	attemptID, path, router string
+	// deadlyPart is the ID of the deadly part of the prompt; empty if it has none.
+	deadlyPart string
 	// connectedAt is when the connection that carried the request was opened, which may be
 	// before earlier requests.
 	connectedAt, sentAt, endedAt time.Time
@@ -51,6 +53,8 @@
 	fleet    *fleet
 	mu       sync.Mutex
 	outcomes []outcome
+	// deadly is the deadly part that some prompts have; empty if none.
+	deadly deadlyPart
 }
 
 func (c *callers) add(o outcome) {
@@ -67,9 +71,10 @@
 
 // run runs one caller until ctx is done. It reuses a connection until the router closes it or
 // an answer is incomplete; sometimes it reconnects anyway. It connects to a random router. n is
-// the number of the caller, which is part of the IDs of its attempts. longRnd decides which
-// streams are calls with longCallTimeout.
-func (c *callers) run(ctx context.Context, n int, rnd, longRnd *rand.Rand) {
+// the number of the caller, which is part of the IDs of its attempts. seed determines its
+// requests: longRnd decides which streams are calls with longCallTimeout, promptRnd their prompts.
+func (c *callers) run(ctx context.Context, n int, seed uint64) {
+	rnd, longRnd, promptRnd := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 7))
 	var conn *callerConn
 	defer func() { conn.close() }()
 	for i := 0; ctx.Err() == nil; i++ {
@@ -87,7 +92,12 @@
 		if target[0] == mock.ResumablePath && longRnd.IntN(streamsPerLongCall) == 0 {
 			target[0] = mock.LongTimeoutPath
 		}
-		o := conn.call(fmt.Sprintf("c%d-%d", n, i), target)
+		attemptID := fmt.Sprintf("c%d-%d", n, i)
+		var p prompt
+		if target[1] != "" {
+			p = c.pickPrompt(promptRnd, attemptID)
+		}
+		o := conn.call(attemptID, target, p)
 		c.add(o)
 		if !o.complete || conn.closeAnnounced {
 			conn.close()
@@ -141,20 +151,22 @@
 
 // call sends a request with attempt ID attemptID to target, which is a path and a model, and
 // returns its outcome.
-func (c *callerConn) call(attemptID string, target [2]string) outcome {
-	o := outcome{attemptID: attemptID, path: target[0], router: c.router, connectedAt: c.connectedAt, sentAt: time.Now()}
-	o.err = c.exchange(&o, target[1])
+func (c *callerConn) call(attemptID string, target [2]string, p prompt) outcome {
+	o := outcome{
+		attemptID: attemptID, path: target[0], router: c.router, deadlyPart: p.deadlyPart, connectedAt: c.connectedAt, sentAt: time.Now(),
+	}
+	o.err = c.exchange(&o, target[1], p.text)
 	o.endedAt = time.Now()
 	return o
 }
 
 // exchange sends the request and reads the answer into o.
-func (c *callerConn) exchange(o *outcome, model string) error {
+func (c *callerConn) exchange(o *outcome, model, promptText string) error {
 	timeout := o.timeout()
 	if err := c.SetDeadline(time.Now().Add(timeout + time.Second)); err != nil {
 		return err
 	}
-	if _, err := io.WriteString(c, mock.RequestText(o.path, o.attemptID, model, "", timeout)); err != nil {
+	if _, err := io.WriteString(c, mock.RequestText(o.path, o.attemptID, model, promptText, timeout)); err != nil {
 		return err
 	}
 	o.fullySent = true
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,8 @@
 	RequestCount int            `json:"requests"`
 	StatusCounts map[int]int    `json:"statuses"`
 	FaultCounts  map[string]int `json:"faults"`
+	// PromptCrashCounts has the number of crashes by each deadly prompt part.
+	PromptCrashCounts map[string]int `json:"prompt-crashes"`
 	// LongestGapMS is the longest period in which the process of the harness was not
 	// scheduled. A delay shorter than that may be caused by the harness instead of the
 	// fleet.
@@ -81,6 +83,9 @@
 	// storeDownAt and storeUpAt are the start and the end of the last outage of the store.
 	storeDownAt, storeUpAt time.Time
 	limitPeriods           []limitPeriod
+	// deadlyParts are the IDs of the prompt parts on which replicas crashed until deadlyUntil.
+	deadlyParts []string
+	deadlyUntil time.Time
 }
 
 // Run runs the test once with the faults and requests that the seed determines. Their timing
@@ -108,7 +113,7 @@
 	for n := range opts.CallerCount {
 		seed := rnd.Uint64()
 		wg.Go(func() {
-			h.callers.run(callerCtx, n, rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 5)))
+			h.callers.run(callerCtx, n, seed)
 		})
 	}
 	sleep(ctx, settleTime/2)
@@ -163,6 +168,7 @@
 	}
 	wg.Go(func() { h.stopWhileLoading(ctx, rand.New(rand.NewPCG(h.opts.Seed, 4))) })
 	wg.Go(func() { h.nameLimits(ctx, rand.New(rand.NewPCG(h.opts.Seed, 6))) })
+	wg.Go(func() { h.poisonPrompts(ctx, rand.New(rand.NewPCG(h.opts.Seed, 8))) })
 	wg.Go(func() { h.probeRoutes(ctx) })
 	wg.Wait()
 }
@@ -235,7 +241,7 @@
 		if conn == nil {
 			continue
 		}
-		o := conn.call(fmt.Sprintf("p-%d", n), [2]string{newest.prefix})
+		o := conn.call(fmt.Sprintf("p-%d", n), [2]string{newest.prefix}, prompt{})
 		conn.close()
 		if o.status == http.StatusNotFound && p.lastDisturbed().Before(o.sentAt.Add(-2*maxRouteDelay)) {
 			h.addViolation("%s answers 404 for %s, added %s before", p.name, newest.prefix, time.Since(newest.addedAt))
@@ -281,6 +287,7 @@
 		h.addViolation("%d of the last %d requests were served after all faults", served, final)
 	}
 	h.checkLimits()
+	h.checkPrompts()
 	for _, name := range h.fleet.runLog.OvercommittedInstances() {
 		h.addViolation("%s was ordered to hold more than it can", name)
 	}
@@ -317,7 +324,13 @@
 func (h *harness) report() Report {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := Report{Seed: h.opts.Seed, StatusCounts: make(map[int]int), FaultCounts: h.faultCounts, Violations: h.violations}
+	r := Report{
+		Seed: h.opts.Seed, StatusCounts: make(map[int]int), FaultCounts: h.faultCounts, PromptCrashCounts: make(map[string]int),
+		Violations: h.violations,
+	}
+	for part, crashes := range h.promptCrashes() {
+		r.PromptCrashCounts[part] = len(crashes)
+	}
 	r.LongestGapMS = h.gaps.longest(time.Time{}, time.Now()).Milliseconds()
 	for _, o := range h.callers.snapshot() {
 		r.RequestCount++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"io"
 	"os"
 	"os/exec"
@@ -17,32 +18,40 @@
 var seeds = map[string]struct {
 	seed     uint64
 	duration time.Duration
+	// replicaCount is the number of model replicas; 0 means defaultReplicaCount.
+	replicaCount int
 }{
-	"short": {1, 6 * time.Second},
+	"short": {seed: 1, duration: 6 * time.Second},
 	// Found that the harness started a router twice if two faults restarted it at the same time.
-	"router stopped and killed at once": {3, 12 * time.Second},
+	"router stopped and killed at once": {seed: 3, duration: 12 * time.Second},
 	// Found that the harness started a replica twice if two faults replaced it at the same time.
-	"replica replaced twice at once": {103, 12 * time.Second},
+	"replica replaced twice at once": {seed: 103, duration: 12 * time.Second},
 	// Found that SIGHUP terminated a router that was starting: the router installed its handler too
 	// late, and the harness sent the signal before the program had run at all.
-	"settings read again at the start":     {239, 6 * time.Second},
-	"settings read again at the start, II": {300, 4 * time.Second},
+	"settings read again at the start":     {seed: 239, duration: 6 * time.Second},
+	"settings read again at the start, II": {seed: 300, duration: 4 * time.Second},
 	// Found that between fork and exec, the process of a router that was started while a
 	// replica was replaced held the replica's address.
-	"replica replaced while a program starts": {512, 4 * time.Second},
+	"replica replaced while a program starts": {seed: 512, duration: 4 * time.Second},
 	// Found that routers that were stopping did not answer requests that were waiting for a load
 	// (incident inc1 of 2026-12-04).
-	"router stopped while models load":      {2000, 8 * time.Second},
-	"router stopped while models load, II":  {2101, 8 * time.Second},
-	"router stopped while models load, III": {2102, 8 * time.Second},
+	"router stopped while models load":      {seed: 2000, duration: 8 * time.Second},
+	"router stopped while models load, II":  {seed: 2101, duration: 8 * time.Second},
+	"router stopped while models load, III": {seed: 2102, duration: 8 * time.Second},
 	// Found that the test double of a replica that crashed right after its start kept its
 	// address in use.
-	"replica crashes at once after its start":     {203, 6 * time.Second},
-	"replica crashes at once after its start, II": {208, 6 * time.Second},
+	"replica crashes at once after its start":     {seed: 203, duration: 6 * time.Second},
+	"replica crashes at once after its start, II": {seed: 208, duration: 6 * time.Second},
+	// Found that routers handed requests with a prompt part that crashes replicas on to one
+	// replica after the other (incident inc2 of 2026-12-04).
+	"prompt part crashes replicas": {seed: 36, duration: 20 * time.Second, replicaCount: 8},
 }
 
-// maxConcurrentRuns limits the fleets that run at the same time, as each has a dozen processes.
-const maxConcurrentRuns = 2
+const (
+	// maxConcurrentRuns limits the fleets that run at the same time, as each has a dozen processes.
+	maxConcurrentRuns   = 2
+	defaultReplicaCount = 3
+)
 
 // build builds the program as it is delivered and returns its path.
 func build(t *testing.T) string {
@@ -66,7 +75,8 @@
 			running <- struct{}{}
 			defer func() { <-running }()
 			report, err := Run(t.Context(), Options{
-				Bin: bin, Dir: t.TempDir(), Seed: c.seed, FaultDuration: c.duration, RouterCount: 3, ModelReplicaCount: 3, CallerCount: 8,
+				Bin: bin, Dir: t.TempDir(), Seed: c.seed, FaultDuration: c.duration, RouterCount: 3,
+				ModelReplicaCount: cmp.Or(c.replicaCount, defaultReplicaCount), CallerCount: 8,
 			})
 			require.NoError(t, err)
 			assert.Empty(t, report.Violations)
