core/swap: keep an endpoint down until it answers

A poll that failed in another way than by a refused connection, as while the endpoint starts, took the report back that it is down: the agent reported the models from before the crash again, and routers sent requests there. Found in review, not seen in a run. TestEndpointStaysDownUntilItAnswers failed before.

--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -118,7 +118,7 @@
 	case Observed:
 		s.handleObserved(ev)
 	case ObserveFailed:
-		s.pollInFlight, s.snapshotAt, s.endpointDown = false, time.Time{}, ev.Refused
+		s.pollInFlight, s.snapshotAt, s.endpointDown = false, time.Time{}, s.endpointDown || ev.Refused
 	case DemandReceived:
 		s.handleDemand(ev)
 	case RouterConnected:
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -368,6 +368,20 @@
 	assert.Len(t, sim.lastReport.Models, 2)
 }
 
+// Guards against an endpoint that is reported as up, with the models from before it crashed, because a
+// poll while it starts fails in another way.
+func TestEndpointStaysDownUntilItAnswers(t *testing.T) {
+	sim := newSimulation(t, "m0")
+	sim.apply(ObserveFailed{Reason: "refused", Refused: true})
+	require.True(t, sim.lastReport.Down)
+	sim.now = sim.now.Add(100 * time.Millisecond)
+	sim.apply(ObserveFailed{Reason: "connection reset"})
+	assert.True(t, sim.lastReport.Down)
+	assert.Empty(t, sim.lastReport.Models)
+	sim.run(time.Second)
+	assert.False(t, sim.lastReport.Down)
+}
+
 func TestAdapters(t *testing.T) {
 	sim := newSimulation(t, "m0", "m1")
 	request := func(adapter string) {
