core/relay: take only whole successes for answers to a prompt

A prompt's parts were taken for sound once an attempt with them had ended as done. Only streams with events and successes with a length or chunks count now.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -21,7 +21,7 @@
 	switch ev.Result {
 	case Done, Abandoned:
 		e.recordOutcome(false, s.now)
-		if ev.Result == Done {
+		if ev.PromptServed {
 			s.noteAnswered(r)
 		}
 		s.drop(r)
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -178,6 +178,9 @@
 	Refused bool
 	// Cut reports whether the endpoint closed the connection of an attempt with the result Broken.
 	Cut bool
+	// PromptServed reports whether an attempt with the result Done has served the prompt: the answer
+	// is a stream with events, or a success whose end is marked.
+	PromptServed bool
 	// HeadReceived reports whether the head of an answer to the attempt has been received.
 	HeadReceived bool
 }
--- a/core/relay/harness_test.go
+++ b/core/relay/harness_test.go
@@ -128,7 +128,7 @@
 }
 
 func (router *testRouter) endAttempt(id RequestID, result Result) {
-	router.apply(AttemptEnded{ID: id, Result: result, LastEvent: NoEvent})
+	router.apply(AttemptEnded{ID: id, Result: result, LastEvent: NoEvent, PromptServed: result == Done})
 }
 
 func effectsOf[T event.Effect](router *testRouter) []T {
--- a/core/relay/poisonfleet_test.go
+++ b/core/relay/poisonfleet_test.go
@@ -392,7 +392,7 @@
 		if i := slices.Index(h.attempts, a); i >= 0 {
 			h.attempts = slices.Delete(h.attempts, i, i+1)
 			f.toRouter(a.router, h.index, func() {
-				f.endAttempt(a.router, a.try, AttemptEnded{ID: a.id, Result: Done, LastEvent: 1, Answering: true, HeadReceived: true})
+				f.endAttempt(a.router, a.try, AttemptEnded{ID: a.id, Result: Done, LastEvent: 1, Answering: true, HeadReceived: true, PromptServed: true})
 			})
 		}
 	})
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -407,10 +407,11 @@
 // connection can't be used again.
 func (x *exchange) forwardAnswer(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
-		if err := x.forwardStream(c, send, resp, info); err != nil {
+		hasEvents, err := x.forwardStream(c, send, resp, info)
+		if err != nil {
 			return err
 		}
-		ended.Result = relay.Done
+		ended.Result, ended.PromptServed = relay.Done, hasEvents
 		return x.extendWriteDeadline()
 	}
 	if x.headerSent {
@@ -431,10 +432,15 @@
 	}
 	x.d.loop.Post(relay.AnswerStarted{ID: x.id})
 	x.writeAnswer(answer)
-	ended.Result = relay.Done
+	ended.Result, ended.PromptServed = relay.Done, isWholeSuccess(resp)
 	return nil
 }
 
+// isWholeSuccess reports whether an answer that has ended is a success that certainly is complete.
+func isWholeSuccess(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices && !unframed(resp)
+}
+
 // forwardUnbuffered forwards an answer that is too long to be buffered. start is the part
 // that has been read already.
 func (x *exchange) forwardUnbuffered(resp *http.Response, start []byte, ended *relay.AttemptEnded) error {
@@ -447,7 +453,7 @@
 	if _, err := io.Copy(caller, resp.Body); err != nil {
 		return fmt.Errorf("forward answer: %w", err)
 	}
-	ended.Result = relay.Done
+	ended.Result, ended.PromptServed = relay.Done, isWholeSuccess(resp)
 	return x.extendWriteDeadline()
 }
 
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -28,37 +28,37 @@
 // forwardStream forwards the events of a stream as they arrive. Only complete events are
 // forwarded, so that the stream can be resumed at another endpoint. The time from one event
 // to the next is limited to send.MaxGap; comments do not count. The head is sent with the first
-// event, so that until then the request can be retried or answered with an error.
-func (x *exchange) forwardStream(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo) error {
+// event, so that until then the request can be retried or answered with an error. It reports whether
+// the stream has events.
+func (x *exchange) forwardStream(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo) (hasEvents bool, err error) {
 	events := bufio.NewReaderSize(resp.Body, maxEventBytes)
-	started := false
 	// comments are those before the first event.
 	var comments []byte
 	for {
 		ev, err := readEvent(events)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
-			if !started && unframed(resp) {
-				return errNoEvent
+			if !hasEvents && unframed(resp) {
+				return false, errNoEvent
 			}
-			return x.beginStream(resp, info, comments)
+			return hasEvents, x.beginStream(resp, info, comments)
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return fmt.Errorf("read stream: %w", err)
+			return hasEvents, fmt.Errorf("read stream: %w", err)
 		}
 		if hasField(ev) {
-			if !started {
-				started = true
+			if !hasEvents {
+				hasEvents = true
 				x.d.meters.firstEventTime.UpdateSince(x.arrivedAt)
 				x.d.loop.Post(relay.AnswerStarted{ID: x.id})
 			}
 			if err := setEventDeadline(c, send.MaxGap); err != nil {
-				return err
+				return hasEvents, err
 			}
 		}
-		if !started && !x.headerSent && len(comments)+len(ev) <= maxEventBytes {
+		if !hasEvents && !x.headerSent && len(comments)+len(ev) <= maxEventBytes {
 			comments = append(comments, ev...)
 			continue
 		}
@@ -66,10 +66,10 @@
 			continue
 		}
 		if err := x.beginStream(resp, info, comments); err != nil {
-			return err
+			return hasEvents, err
 		}
 		if err := x.writeEvent(ev, eventBuffered(events)); err != nil {
-			return err
+			return hasEvents, err
 		}
 	}
 }
