core/poison: lift a conviction only for a part of the same requests

A conviction was lifted when another part was convicted that had been in the same crashes, also if the two were in different requests: of two deadly parts at a time, one was acquitted and had to convict itself by three new crashes. A part explains another now only if they were in one request, which two suspects of a crash are taken for that were sent at the same time.

TestTwoDeadlyPartsStayConvicted failed before (6 crashes of part 2).

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -77,6 +77,12 @@
 	return ok && (s.Answering || !c.answering)
 }
 
+// inSameRequest reports whether both parts may have caused the crash and were in one request. Two
+// requests that are sent at the same time are taken for one.
+func (c *crash) inSameRequest(p, q Part) bool {
+	return c.isSuspect(p) && c.isSuspect(q) && c.suspects[p].SentAt.Equal(c.suspects[q].SentAt)
+}
+
 // NewJudge returns a judge without evidence.
 func NewJudge() *Judge {
 	return &Judge{
@@ -227,15 +233,15 @@
 	return p, j.announcedAt[p].Add(objectionTime)
 }
 
-// liftExplainedBy lifts the convictions of parts that were in at most one crash without a part that
-// is now to be convicted.
+// liftExplainedBy lifts the convictions of parts that were in at most one crash without a part, in the
+// same request, that is now to be convicted.
 func (j *Judge) liftExplainedBy(now time.Time, p Part) {
 	for q, v := range j.verdicts {
 		if !v.InForce(now) {
 			continue
 		}
 		crashes := lo.Filter(j.crashes, func(c *crash, _ int) bool { return c.isSuspect(q) })
-		unexplained := lo.CountBy(crashes, func(c *crash) bool { return !c.isSuspect(p) || j.isUsedUp(p, c.at) })
+		unexplained := lo.CountBy(crashes, func(c *crash) bool { return !c.inSameRequest(p, q) || j.isUsedUp(p, c.at) })
 		if len(crashes) >= minCrashes && unexplained <= 1 {
 			j.verdicts[q] = Verdict{Part: q, DecidedAt: now, Lifted: true}
 		}
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -476,3 +476,31 @@
 	j.AddCrash(crashWith("b", 5*time.Second, 1))
 	assert.Empty(t, decideAll(j, at(6*time.Second)))
 }
+
+// Guards against a deadly part that is acquitted because another one, in other requests, was in the same
+// crashes.
+func TestTwoDeadlyPartsStayConvicted(t *testing.T) {
+	j := NewJudge()
+	deadly := []Part{1, 2}
+	crashCounts := make(map[Part]int)
+	for i := range 30 {
+		crashedAt := time.Duration(i) * time.Second
+		c := Crash{Instance: fmt.Sprint("e", i), At: at(crashedAt)}
+		for _, p := range deadly {
+			if !j.verdicts[p].InForce(at(crashedAt)) {
+				s := begun(p, crashedAt)
+				s.SentAt = s.SentAt.Add(time.Duration(p) * time.Millisecond)
+				c.Suspects = append(c.Suspects, s)
+				crashCounts[p]++
+			}
+		}
+		if len(c.Suspects) > 0 {
+			j.AddCrash(c)
+		}
+		decideAll(j, at(crashedAt))
+	}
+	for _, p := range deadly {
+		assert.True(t, j.verdicts[p].InForce(at(30*time.Second)), "part %d", p)
+		assert.LessOrEqual(t, crashCounts[p], 5, "part %d", p)
+	}
+}
