--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -41,10 +41,6 @@
 	nonIdempotentMaxIdle = 300 * time.Millisecond
 )
 
-// reasonCanceled is the reason of an error for a request that was canceled though its caller is
-// connected.
-const reasonCanceled relay.Reason = "canceled"
-
 var (
 	// errCallerGone means that the caller has disconnected or does not accept the answer.
 	errCallerGone = errors.New("caller gone")
@@ -94,13 +90,6 @@
 	aborted       bool
 }
 
-// bufferedAnswer is an answer that has been read completely.
-type bufferedAnswer struct {
-	// head holds the status and header.
-	head *http.Response
-	body []byte
-}
-
 // run serves the request: it executes the reducer's commands until the request has its
 // final answer or the caller has disconnected.
 func (x *exchange) run(ctx context.Context) {
@@ -127,16 +116,6 @@
 	}
 }
 
-// finish removes the request. It also removes it from the reducer, which still has it if the
-// handler has panicked.
-func (x *exchange) finish() {
-	x.d.removeExchange(x)
-	x.d.meters.answerTime.UpdateSince(x.arrivedAt)
-	if !x.ended {
-		x.d.loop.Post(relay.CallerDone{ID: x.id})
-	}
-}
-
 // execute executes a command of the reducer. It reports whether the request now has its
 // final answer.
 func (x *exchange) execute(ctx context.Context, cmd any) bool {
@@ -156,49 +135,6 @@
 	return true
 }
 
-// fail answers a request that may have run with an error. It panics with
-// http.ErrAbortHandler to cut the answer off if its beginning has been sent.
-func (x *exchange) fail(reason relay.Reason) {
-	if x.headerSent {
-		x.cutOff(string(reason))
-	}
-	x.logOutcome(guard.Failed, string(reason))
-	status := http.StatusBadGateway
-	if reason == relay.DeadlineExceeded {
-		status = http.StatusGatewayTimeout
-	}
-	http.Error(x.w, string(reason), status)
-}
-
-// cutOff ends an answer whose beginning has been sent. It panics with http.ErrAbortHandler.
-func (x *exchange) cutOff(reason string) {
-	x.logOutcome(guard.Cut, reason)
-	panic(http.ErrAbortHandler)
-}
-
-// leave ends a request without an answer because its caller has disconnected or does not accept
-// it. It panics with http.ErrAbortHandler, because a return would send an empty answer.
-func (x *exchange) leave() {
-	x.logOutcome(guard.Left, "caller disconnected")
-	panic(http.ErrAbortHandler)
-}
-
-// endCanceled ends a request whose context is canceled. The context is canceled whenever a read of
-// the caller's connection fails. A caller that is still connected gets an error; otherwise,
-// endCanceled panics with http.ErrAbortHandler.
-func (x *exchange) endCanceled() {
-	if !x.callerConnected() {
-		x.leave()
-	}
-	x.w.Header().Set("Connection", "close")
-	if x.headerSent || x.mayHaveRun {
-		x.fail(reasonCanceled)
-		return
-	}
-	x.logOutcome(guard.Refused, string(reasonCanceled))
-	refuse(x.w, http.StatusServiceUnavailable, 0, string(reasonCanceled))
-}
-
 // attempt makes one attempt, posts its outcome to the reducer, and reports whether the
 // request has its final answer. It panics with http.ErrAbortHandler if the caller has
 // disconnected.
@@ -442,22 +378,6 @@
 	return x.extendWriteDeadline()
 }
 
-// writeAnswer writes a buffered answer to the caller. It panics with http.ErrAbortHandler if
-// the beginning of another answer has been sent.
-func (x *exchange) writeAnswer(a *bufferedAnswer) {
-	if x.headerSent {
-		x.cutOff("another answer has begun")
-	}
-	x.copyHeader(a.head)
-	if x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	}
-	x.w.WriteHeader(a.head.StatusCode)
-	if _, err := (callerWriter{x}).Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		x.logOutcome(guard.Left, err.Error())
-	}
-}
-
 // copyHeader copies the header of an endpoint's answer to the answer to the caller, without
 // the headers that concern one connection only, and sets headerSent. The status must be
 // written next.
