core/relay: begin no stream that comes after the drain of its router

Cause: io/drain keeps a connection for 0.1 s after an answer. A stream from before the signal ends late and without "Connection: close", and its caller's next request on that connection comes after the drain has begun, in the first half of the stop, in which streams were still begun.

Streams that arrive after the drain has begun are refused at once, as others serve them in whole. The time is that of the drain, 2.9 s after the signal; short requests are served as before. TestStoppingRouterBeginsNoStreamAfterItsDrain failed before (a Send in place of a Refuse).

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -265,7 +265,9 @@
 // ShutdownStarted reports that the process is shutting down and aborts all requests in
 // progress at the time By.
 type ShutdownStarted struct {
-	By time.Time
+	// DrainAt is the time from which callers' connections are closed after their answers; streams
+	// that arrive later are refused. Zero means By.
+	DrainAt, By time.Time
 }
 
 // Kind implements event.Event.
--- a/core/relay/shutdown.go
+++ b/core/relay/shutdown.go
@@ -16,7 +16,7 @@
 func (s *State) handleShutdownStarted(ev ShutdownStarted) {
 	remaining := max(ev.By.Sub(s.now), 0)
 	s.shutdownSendBy = s.now.Add(time.Duration(float64(remaining) * shutdownSendShare))
-	s.shutdownEndBy = ev.By
+	s.shutdownEndBy, s.drainAt = ev.By, ev.DrainAt
 	s.emitWake(s.shutdownSendBy)
 	s.dispatchWaiting()
 }
@@ -29,7 +29,8 @@
 // wouldBeCutOff reports whether the answer to a request that has not run yet would probably
 // be cut off by the shutdown, so that another router should serve the request.
 func (s *State) wouldBeCutOff(r *request) bool {
-	return r.Route.Kind == route.Stream && r.possibleRunCount == 0 && !r.partlyAnswered && s.tooLateToSend(s.now)
+	isLate := s.tooLateToSend(s.now) || !s.drainAt.IsZero() && r.arrivedAt.After(s.drainAt)
+	return r.Route.Kind == route.Stream && r.possibleRunCount == 0 && !r.partlyAnswered && isLate
 }
 
 // tooLateToSend reports whether the answer to a request that is sent at the given time may
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -167,3 +167,21 @@
 	assert.Equal(t, id, resumed.ID)
 	assert.NotEqual(t, sent.Instance, resumed.Instance)
 }
+
+// Guards against a stream that comes on a caller's connection after the others were closed, and is
+// begun and cut off at the end (msp-closures, stop-while-waiting --vary --seed 926056164727: LOST).
+func TestStoppingRouterBeginsNoStreamAfterItsDrain(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", llm), testEntry("p1", plain))
+	router.report("e1", withModels("a"))
+	router.apply(ShutdownStarted{DrainAt: router.now.Add(2900 * time.Millisecond), By: router.now.Add(7700 * time.Millisecond)})
+	router.advance(2800 * time.Millisecond)
+	router.arrive(streamRoute(), modelA)
+	onlyEffect[Send](router)
+	router.advance(700 * time.Millisecond)
+	router.arrive(streamRoute(), modelA)
+	refused := onlyEffect[Refuse](router)
+	assert.Equal(t, Stopping, refused.Reason)
+	assert.Equal(t, router.now, refused.RetryAt)
+	router.arrive(plainRoute(route.Safe), stock.Item{})
+	onlyEffect[Send](router)
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -65,6 +65,8 @@
 	// shutdownEndBy the time at which attempts are aborted. Both are zero if the process is not
 	// shutting down.
 	shutdownSendBy, shutdownEndBy time.Time
+	// drainAt is ShutdownStarted.DrainAt.
+	drainAt time.Time
 	// lastAskNumber is the number of the last ask for a permit. pendingAsks has the endpoints of
 	// the unanswered ones.
 	lastAskNumber uint64
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -255,7 +255,7 @@
 	}
 	exitAt := abortAt.Add(-exitMargin)
 	abortAt = abortAt.Add(-abortMargin)
-	r.daemon.BeginShutdown(abortAt)
+	r.daemon.BeginShutdown(time.Now().Add(shutdownGrace), abortAt)
 	r.log.Info().Int("in-progress", r.daemon.RequestsInProgress()).Msg("stopping")
 	defer r.stop()
 	ctx, cancel := context.WithDeadline(ctx, abortAt)
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -164,12 +164,13 @@
 // ShuttingDown reports whether BeginShutdown has been called.
 func (d *Daemon) ShuttingDown() bool { return d.shuttingDown.Load() }
 
-// BeginShutdown announces that the process ends at the time by. Until then, each answer
-// closes the caller's connection, and requests that can't be sent in time are refused.
-// AbortAttempts must be called at that time.
-func (d *Daemon) BeginShutdown(by time.Time) {
+// BeginShutdown announces that the process ends at the time by, and closes callers' connections from
+// drainAt on. Until then, each answer closes the caller's connection, and requests that can't be
+// sent in time and streams that arrive after drainAt are refused. AbortAttempts must be called at
+// the time by.
+func (d *Daemon) BeginShutdown(drainAt, by time.Time) {
 	d.shuttingDown.Store(true)
-	d.loop.Post(relay.ShutdownStarted{By: by})
+	d.loop.Post(relay.ShutdownStarted{DrainAt: drainAt, By: by})
 }
 
 // AbortAttempts aborts all attempts in progress, so that each request gets its final answer
