--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -169,7 +169,7 @@
 }
 
 // Guards against a stream that comes on a caller's connection after the others were closed, and is
-// begun and cut off at the end (msp-closures, stop-while-waiting --vary --seed 926056164727: LOST).
+// begun and cut off at the end (deploy/days/stop-while-waiting.toml, --vary --seed 926056164727).
 func TestStoppingRouterBeginsNoStreamAfterItsDrain(t *testing.T) {
 	router := newTestRouter(t, testEntry("e1", llm), testEntry("p1", plain))
 	router.report("e1", withModels("a"))
