core/relay, io/relayd: log and measure the age of routes and of leaving endpoints

A table's line now has its source, its routes and the time from its arrival to its adoption; a line tells when an endpoint begins to leave, from which source and how old the knowledge was; a timer for each. Nothing that is decided changes.

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -234,6 +234,20 @@
 // Kind implements event.Effect.
 func (LimitChanged) Kind() string { return "relay-limit-changed" }
 
+// EndpointLeaving reports that an endpoint has begun to leave or is gone, for the log.
+type EndpointLeaving struct {
+	Endpoint string
+	// Source is the store, or "agent" for a report of the endpoint's agent.
+	Source string
+	// Listed reports whether the endpoint is still in the list.
+	Listed bool
+	// ReadAt is when the list or report that tells it was read.
+	ReadAt time.Time
+}
+
+// Kind implements event.Effect.
+func (EndpointLeaving) Kind() string { return "relay-endpoint-leaving" }
+
 // ReportCrashes tells an agent what the router knows of recent crashes of endpoints.
 type ReportCrashes struct {
 	// Judge is the endpoint whose agent is told.
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -217,6 +217,8 @@
 	// More reports whether the list is incomplete because its rest has not been read
 	// yet.
 	More bool
+	// ReadAt is the time at which the list was read.
+	ReadAt time.Time
 }
 
 // Kind implements event.Event.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -26,7 +26,9 @@
 		e := old[m.Instance]
 		delete(old, m.Instance)
 		if e == nil || !e.sameEntry(m) {
+			wasLeaving := e == nil || e.Leaving
 			e = s.updateEntry(e, m)
+			s.reportLeaving(e, wasLeaving, EndpointLeaving{Source: sourceStore, Listed: true, ReadAt: ev.ReadAt})
 		}
 		s.endpoints = append(s.endpoints, e)
 	}
@@ -36,6 +38,7 @@
 		s.dropLimit(old[id])
 		wasLeaving := old[id].Leaving
 		old[id].Leaving = true
+		s.reportLeaving(old[id], wasLeaving, EndpointLeaving{Source: sourceStore, ReadAt: ev.ReadAt})
 		s.unassignLoads(id)
 		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
 			if !wasLeaving {
@@ -50,6 +53,21 @@
 	s.dispatchWaiting()
 }
 
+// Sources of what the router knows of an endpoint, for the log.
+const (
+	sourceStore = "store"
+	sourceAgent = "agent"
+)
+
+// reportLeaving reports that an endpoint has begun to leave, unless it was leaving before.
+func (s *State) reportLeaving(e *endpoint, wasLeaving bool, report EndpointLeaving) {
+	if wasLeaving || !e.Leaving {
+		return
+	}
+	report.Endpoint = e.Instance
+	s.emit(report)
+}
+
 // updateListDeadline starts the wait for the rest of an incomplete list, or ends it.
 func (s *State) updateListDeadline(more bool) {
 	switch {
@@ -124,7 +142,9 @@
 		return
 	}
 	first := !e.hasAgent
+	wasLeaving := e.Leaving
 	s.updateStock(e, func() { e.applyReport(ev.Report, s.now) })
+	s.reportLeaving(e, wasLeaving, EndpointLeaving{Source: sourceAgent, Listed: true, ReadAt: s.now})
 	e.hasSparseReports = s.followsSubset()
 	s.retryBudget.routerCount = s.estimateRouters(s.mostRoutersReported())
 	s.adoptLimits(ev.Report)
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -184,6 +184,15 @@
 	return nil, false
 }
 
+// Len returns the number of routes.
+func (t *Table) Len() int {
+	n := 0
+	for _, list := range t.routesByHost {
+		n += len(list)
+	}
+	return n
+}
+
 // Service returns the service with the given name, or false if there is none.
 func (t *Table) Service(name string) (*Service, bool) {
 	s, ok := t.services[name]
--- a/io/mirror/fault_test.go
+++ b/io/mirror/fault_test.go
@@ -131,7 +131,7 @@
 	latest <- nil
 	m := New(Options{
 		Store: s, WatchPause: platformWatchPause, WatchWait: platformWatchWait, Log: zerolog.Nop(),
-		OnChange: func(entries map[string][]byte, _ bool) {
+		OnChange: func(entries map[string][]byte, _ bool, _ time.Time) {
 			snapshot := make(map[string]string, len(entries))
 			for key, value := range entries {
 				snapshot[key] = string(value)
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -105,8 +105,8 @@
 	// OnChange is called from Run with a snapshot of all entries after each change and
 	// after the first full read. The snapshot is a copy that the callee may keep.
 	// partial reports whether entries may be missing because no full read has completed
-	// yet.
-	OnChange func(snapshot map[string][]byte, partial bool)
+	// yet, readAt when the store's last answer arrived.
+	OnChange func(snapshot map[string][]byte, partial bool, readAt time.Time)
 }
 
 // Mirror is a local copy of the keys under a prefix. Run must be called once;
@@ -150,6 +150,8 @@
 	outageStart, lastOutageEnd time.Time
 	// fullReadDone reports whether a full read has completed since the start.
 	fullReadDone bool
+	// readAt is the time at which the store's last answer arrived.
+	readAt time.Time
 }
 
 // fullRead holds the pages of an incomplete full read. They are kept when a call
@@ -252,6 +254,7 @@
 	if err != nil {
 		return err
 	}
+	m.readAt = time.Now()
 	m.markOutageEnd()
 	m.detectSkippedChange(items, cursor)
 	m.cursor = max(cursor, m.cursor)
@@ -345,7 +348,7 @@
 		if err != nil {
 			return err
 		}
-		r.progressed = true
+		r.progressed, m.readAt = true, time.Now()
 		if !m.fullReadDone {
 			// Reading all pages may take long, and a partial snapshot is better than none.
 			m.apply(page.Items)
@@ -432,7 +435,7 @@
 }
 
 // notify passes a copy of the entries to OnChange.
-func (m *Mirror) notify() { m.opts.OnChange(maps.Clone(m.entries), !m.fullReadDone) }
+func (m *Mirror) notify() { m.opts.OnChange(maps.Clone(m.entries), !m.fullReadDone, m.readAt) }
 
 // retainUntil returns until when an entry that is removed now is retained for its
 // writer to write it again. The time is not after now if restoreWindow has passed
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -169,12 +169,12 @@
 }
 
 // onStoreChange adopts the routes and endpoints in a snapshot of the store. partial reports that
-// it may lack keys.
-func (r *Relay) onStoreChange(snapshot map[string][]byte, partial bool) {
+// it may lack keys, readAt when it was read.
+func (r *Relay) onStoreChange(snapshot map[string][]byte, partial bool, readAt time.Time) {
 	if t := r.platform.Decoder.Routes(snapshot); t != nil {
-		r.daemon.AdoptRoutes(t)
+		r.daemon.AdoptRoutes(t, relayd.Origin{Source: "store", ReadAt: readAt})
 	}
-	r.daemon.SetEndpoints(r.platform.Decoder.Endpoints(snapshot), partial)
+	r.daemon.SetEndpoints(r.platform.Decoder.Endpoints(snapshot), partial, readAt)
 }
 
 // server is an http.Server or a drain.Server.
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -142,7 +142,7 @@
 }
 
 // onStoreChange adopts the routes in a snapshot of the store.
-func (s *Swap) onStoreChange(snapshot map[string][]byte, _ bool) {
+func (s *Swap) onStoreChange(snapshot map[string][]byte, _ bool, _ time.Time) {
 	if t := s.platform.Routes(snapshot); t != nil {
 		s.daemon.AdoptRoutes(t.Engine(s.cfg.Endpoint.Service), t.Version, s.platform.RoutesDocument(snapshot))
 	}
--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -239,7 +239,7 @@
 		}
 		a.d.loop.Post(relay.AgentReported{Report: report})
 		if f.GetRevision() > (selfInfo{a.d}).Revision() && a.catchingUp.CompareAndSwap(false, true) {
-			go a.catchUpRoutes(conn, f.GetRevision())
+			go a.catchUpRoutes(conn, agent.instance, f.GetRevision())
 		}
 	}
 }
@@ -262,7 +262,7 @@
 // If the router's own watch does not deliver it within routesWatchTimeout, it asks for the
 // store to be read again and also fetches the routes from the agent; whichever is faster
 // takes effect.
-func (a *agentConns) catchUpRoutes(conn *wire.Conn, version int64) {
+func (a *agentConns) catchUpRoutes(conn *wire.Conn, source string, version int64) {
 	defer a.catchingUp.Store(false)
 	select {
 	case <-a.ctx.Done():
@@ -274,13 +274,13 @@
 	}
 	a.d.log.Info().Int64("version", (selfInfo{a.d}).Revision()).Int64("known-elsewhere", version).Msg("routes lag behind")
 	a.d.opts.OnStaleRoutes()
-	if err := a.fetchRoutes(conn); err != nil {
+	if err := a.fetchRoutes(conn, source); err != nil {
 		a.d.log.Warn().Err(err).Msg("could not fetch routes from agent")
 	}
 }
 
-// fetchRoutes requests the routes from the agent and adopts them.
-func (a *agentConns) fetchRoutes(conn *wire.Conn) error {
+// fetchRoutes requests the routes from the agent beside the endpoint source and adopts them.
+func (a *agentConns) fetchRoutes(conn *wire.Conn, source string) error {
 	s, err := conn.Open()
 	if err != nil {
 		return err
@@ -297,10 +297,11 @@
 	if err != nil {
 		return err
 	}
+	readAt := time.Now()
 	table, err := a.d.opts.DecodeRoutes(f.GetRoutes().GetDocument())
 	if err != nil {
 		return err
 	}
-	a.d.AdoptRoutes(table)
+	a.d.AdoptRoutes(table, Origin{Source: source, ReadAt: readAt})
 	return nil
 }
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -120,9 +120,17 @@
 	}
 }
 
+// Origin is where and when a routing table was read.
+type Origin struct {
+	// Source is the store or the instance of the endpoint whose agent sent the table.
+	Source string
+	// ReadAt is the time at which the table had been received, before it was decoded.
+	ReadAt time.Time
+}
+
 // AdoptRoutes puts a routing table in force unless its version is the current one or
 // older.
-func (d *Daemon) AdoptRoutes(t *route.Table) {
+func (d *Daemon) AdoptRoutes(t *route.Table, from Origin) {
 	if d.RoutesVersion() >= t.Version {
 		return
 	}
@@ -137,7 +145,10 @@
 			break
 		}
 	}
-	d.log.Info().Int64("version", t.Version).Msg("routes adopted")
+	age := time.Since(from.ReadAt)
+	d.meters.routesTime.Update(age)
+	d.log.Info().Int64("version", t.Version).Int("routes", t.Len()).Str("source", from.Source).
+		Int64("age-ms", age.Milliseconds()).Msg("routes adopted")
 }
 
 // Configure replaces the settings.
@@ -145,11 +156,11 @@
 	d.loop.Post(relay.SettingsChanged{Settings: cfg})
 }
 
-// SetEndpoints replaces the list of endpoints. If more is true, the list is incomplete
-// because its rest has not been read yet.
-func (d *Daemon) SetEndpoints(list []relay.EndpointEntry, more bool) {
+// SetEndpoints replaces the list of endpoints, which was read at readAt. If more is true, the list
+// is incomplete because its rest has not been read yet.
+func (d *Daemon) SetEndpoints(list []relay.EndpointEntry, more bool, readAt time.Time) {
 	d.endpointsKnown.Store(true)
-	d.loop.Post(relay.EndpointsListed{List: list, More: more})
+	d.loop.Post(relay.EndpointsListed{List: list, More: more, ReadAt: readAt})
 }
 
 // Ready reports whether the router can serve callers: routes and endpoints are known, and
@@ -218,6 +229,8 @@
 		go x.d.agents.reportLimit(eff)
 	case relay.LimitChanged:
 		x.d.logLimitChange(eff)
+	case relay.EndpointLeaving:
+		x.d.logLeaving(eff)
 	case relay.Wait:
 		x.d.logWait(eff)
 	default:
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -116,3 +116,11 @@
 	}
 	line.Int64("age-ms", time.Since(eff.Now.SeenAt).Milliseconds()).Str("told-by", eff.Source).Msg("limit of endpoint changed")
 }
+
+// logLeaving logs that an endpoint has begun to leave.
+func (d *Daemon) logLeaving(eff relay.EndpointLeaving) {
+	age := time.Since(eff.ReadAt)
+	d.meters.leavingTime.Update(age)
+	d.log.Info().Str("endpoint", eff.Endpoint).Str("source", eff.Source).Bool("listed", eff.Listed).
+		Int64("age-ms", age.Milliseconds()).Msg("endpoint leaves")
+}
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -18,6 +18,8 @@
 	metricLimits         = "relay.limits-in-force"
 	metricLimitChanges   = "relay.limit-changes"
 	metricConvictions    = "relay.convictions-in-force"
+	metricRoutesTime     = "relay.routes-adoption-time"
+	metricLeavingTime    = "relay.leaving-adoption-time"
 )
 
 // meters holds the metrics of a router's requests.
@@ -28,6 +30,9 @@
 	answerTime, firstEventTime metrics.Timer
 	// inFlight is the number of requests without a final answer.
 	inFlight metrics.Gauge
+	// routesTime and leavingTime measure new routes, and the leaving of endpoints, from when they
+	// were read until they are in force.
+	routesTime, leavingTime metrics.Timer
 }
 
 // newMeters registers the metrics. A nil registry discards them.
@@ -40,6 +45,8 @@
 		answerTime:     metrics.GetOrRegisterTimer(metricAnswerTime, registry),
 		firstEventTime: metrics.GetOrRegisterTimer(metricFirstEventTime, registry),
 		inFlight:       metrics.GetOrRegisterGauge(metricInFlight, registry),
+		routesTime:     metrics.GetOrRegisterTimer(metricRoutesTime, registry),
+		leavingTime:    metrics.GetOrRegisterTimer(metricLeavingTime, registry),
 	}
 }
 
--- a/io/relayd/poison_test.go
+++ b/io/relayd/poison_test.go
@@ -32,7 +32,7 @@
 		AgentAddr: func(relay.EndpointEntry) netip.AddrPort { return netip.AddrPort{} },
 	})
 	go d.Run(t.Context())
-	d.SetEndpoints([]relay.EndpointEntry{{Instance: "i-1", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1")}}, false)
+	d.SetEndpoints([]relay.EndpointEntry{{Instance: "i-1", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1")}}, false, time.Now())
 	return d
 }
 
--- a/io/relayd/routes_test.go
+++ b/io/relayd/routes_test.go
@@ -34,7 +34,7 @@
 		time.Sleep(20 * time.Millisecond)
 		return n > 0 && n == posted.Load()
 	}, 5*time.Second, time.Millisecond, "the queue is full")
-	go d.AdoptRoutes(route.NewTable(2, route.Limits{}, nil, nil))
+	go d.AdoptRoutes(route.NewTable(2, route.Limits{}, nil, nil), Origin{})
 	require.Never(t, func() bool { return d.RoutesVersion() != 0 }, 100*time.Millisecond, time.Millisecond)
 	go d.Run(ctx)
 	require.Eventually(t, func() bool { return d.RoutesVersion() == 2 }, 5*time.Second, time.Millisecond)
