core/route, platform: adopt a changed route at the cost of the change

CONFIG: what callers saw were requests handled by routes of an older version, and late ones, beside large tables. Each version was decoded whole and its table built anew, on an eighth of a core.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -147,51 +146,145 @@
 	Version  int64
 	Limits   Limits
 	services map[string]*Service
-	// routesByHost has the routes of each host, those with the longest prefix first.
-	routesByHost map[string][]*Route
+	count    int
+	// prefixLengths has the lengths of the prefixes of each host, the longest first.
+	prefixLengths *cowMap[string, []lengthCount]
+	// routes has the routes for each host and prefix, in the order in which they were given.
+	routes *cowMap[routeKey, []*Route]
 }
 
+// routeKey identifies the routes of a host with the same prefix.
+type routeKey struct{ host, prefix string }
+
+// lengthCount is the number of a host's routes with prefixes of one length.
+type lengthCount struct{ length, count int }
+
 // NewTable returns a table of the routes and services. It keeps the pointers, so the caller
 // must not change what they point to.
 func NewTable(version int64, limits Limits, routes []*Route, services []*Service) *Table {
-	t := &Table{
-		Version:      version,
-		Limits:       limits,
-		services:     make(map[string]*Service, len(services)),
-		routesByHost: make(map[string][]*Route),
+	empty := &Table{prefixLengths: &cowMap[string, []lengthCount]{}, routes: &cowMap[routeKey, []*Route]{}}
+	e := empty.edit()
+	for _, r := range routes {
+		e.add(r)
 	}
+	return e.table(version, limits, serviceMap(services))
+}
+
+func serviceMap(services []*Service) map[string]*Service {
+	m := make(map[string]*Service, len(services))
 	for _, s := range services {
-		t.services[s.Name] = s
+		m[s.Name] = s
 	}
-	for _, r := range routes {
-		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], r)
+	return m
+}
+
+// Change is the difference between two tables. Removed routes are identified by their pointers.
+type Change struct {
+	Removed, Added []*Route
+	// Services are the services of the newer table; nil if they are those of the older one.
+	Services []*Service
+}
+
+// With returns a table with a later version of the configuration. It costs what the change costs, not
+// what the table does. It returns false if an added route has the host and prefix of another one, as
+// the order of all routes decides then which of them counts.
+func (t *Table) With(version int64, limits Limits, c Change) (*Table, bool) {
+	e := t.edit()
+	for _, r := range c.Removed {
+		e.remove(r)
+	}
+	for _, r := range c.Added {
+		if others, _ := e.routes.get(routeKey{r.Host, r.Prefix}); len(others) > 0 {
+			return nil, false
+		}
+		e.add(r)
+	}
+	services := t.services
+	if c.Services != nil {
+		services = serviceMap(c.Services)
+	}
+	return e.table(version, limits, services), true
+}
+
+// tableEdit is a change of a table's routes in progress.
+type tableEdit struct {
+	count         int
+	prefixLengths *cowEdit[string, []lengthCount]
+	routes        *cowEdit[routeKey, []*Route]
+}
+
+func (t *Table) edit() *tableEdit {
+	return &tableEdit{count: t.count, prefixLengths: t.prefixLengths.edit(), routes: t.routes.edit()}
+}
+
+func (e *tableEdit) table(version int64, limits Limits, services map[string]*Service) *Table {
+	return &Table{
+		Version: version, Limits: limits, services: services, count: e.count,
+		prefixLengths: e.prefixLengths.next, routes: e.routes.next,
+	}
+}
+
+func (e *tableEdit) add(r *Route) {
+	key := routeKey{r.Host, r.Prefix}
+	list, _ := e.routes.get(key)
+	e.routes.set(key, append(slices.Clip(list), r))
+	e.countLength(r, 1)
+	e.count++
+}
+
+// remove removes a route if the table has it.
+func (e *tableEdit) remove(r *Route) {
+	key := routeKey{r.Host, r.Prefix}
+	list, _ := e.routes.get(key)
+	i := slices.Index(list, r)
+	switch {
+	case i < 0:
+		return
+	case len(list) == 1:
+		e.routes.remove(key)
+	default:
+		e.routes.set(key, slices.Delete(slices.Clone(list), i, i+1))
+	}
+	e.countLength(r, -1)
+	e.count--
+}
+
+// countLength adds n to the number of the host's routes with prefixes as long as that of r.
+func (e *tableEdit) countLength(r *Route, n int) {
+	list, _ := e.prefixLengths.get(r.Host)
+	list = slices.Clone(list)
+	i, found := slices.BinarySearchFunc(list, len(r.Prefix), func(l lengthCount, length int) int { return cmp.Compare(length, l.length) })
+	if !found {
+		list = slices.Insert(list, i, lengthCount{length: len(r.Prefix)})
 	}
-	for _, list := range t.routesByHost {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	if list[i].count += n; list[i].count == 0 {
+		list = slices.Delete(list, i, i+1)
 	}
-	return t
+	if len(list) == 0 {
+		e.prefixLengths.remove(r.Host)
+		return
+	}
+	e.prefixLengths.set(r.Host, list)
 }
 
 // Match returns the route of the host whose prefix is the longest that matches the
 // path. Among equal prefixes the first route given to NewTable wins. It returns false if no
 // route matches.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, r := range t.routesByHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+	lengths, _ := t.prefixLengths.get(host)
+	for _, l := range lengths {
+		if l.length > len(path) {
+			continue
+		}
+		if list, ok := t.routes.get(routeKey{host, path[:l.length]}); ok {
+			return list[0], true
 		}
 	}
 	return nil, false
 }
 
 // Len returns the number of routes.
-func (t *Table) Len() int {
-	n := 0
-	for _, list := range t.routesByHost {
-		n += len(list)
-	}
-	return n
-}
+func (t *Table) Len() int { return t.count }
 
 // Service returns the service with the given name, or false if there is none.
 func (t *Table) Service(name string) (*Service, bool) {
