io/feed, core/delta: send routers what has changed in the routes

Now a router watches the endpoints alone. A revision that the watch passes by starts a read of the store unless an agent settles it within 0.3 s; a read brings the newest version only. Why this works: what a change costs on the wire and in the router follows from the change, and nothing that endpoints need is behind it.

An agent no longer replaces its routes by older ones. Ruled out: two watches of routes and endpoints in each router, as thin links would still carry each version whole.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -33,9 +33,9 @@
 	}
 	defer func() { _ = log.Close() }()
 	r := node.NewRelay(cfg, log, node.RelayPlatform{
-		Store: plat.NewStore(cfg.Store.Address), HeaderCodec: plat.HeaderCodec{}, Prefix: plat.AllKeys,
-		Decoder: plat.NewSnapshotDecoder(log.Logger), AgentAddr: plat.AgentAddress(cfg.Process.Wire), ReadyPath: plat.ReadyPath,
-		DecodeRoutes: plat.DecodeRoutes,
+		Store: plat.NewStore(cfg.Store.Address), HeaderCodec: plat.HeaderCodec{}, EndpointsPrefix: plat.EndpointKeys, RoutesPrefix: plat.OperatorKeys,
+		Endpoints: plat.NewSnapshotDecoder(log.Logger).Endpoints, AgentAddr: plat.AgentAddress(cfg.Process.Wire), RoutesDocument: plat.ConfigDocument,
+		DecodeRoutes: new(plat.RoutesDecoder).Decode, ReadyPath: plat.ReadyPath,
 	})
 	return runUntilSignal(cfg.Process.DrainTimeout, r, r.Failed())
 }
--- /dev/null
+++ b/io/feed/feed.go
@@ -0,0 +1,227 @@
+// Package feed keeps a router's routes up to date. Agents send what has changed since the version
+// that the router has; the whole document is read from the platform's key-value store, called the
+// store here, only if no agent does so in time.
+//
+// The router watches the store for endpoints only, so that they wait for no document. A revision of
+// the store that this watch does not deliver may be a new version of the routes.
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilreach/core/delta"
+	"chervilreach/core/route"
+)
+
+const (
+	// agentLead is how long agents may take to send a new version before the store is read. It covers
+	// the pause between two watches of an agent.
+	agentLead = 300 * time.Millisecond
+	// minReadInterval and maxReadInterval bound the interval between two reads of the store that
+	// found nothing new. It doubles up to the maximum, so that a store whose revision rises for
+	// other reasons causes little load.
+	minReadInterval = 300 * time.Millisecond
+	maxReadInterval = 8 * time.Second
+	// checkInterval is how often Run checks whether the store must be read.
+	checkInterval = 50 * time.Millisecond
+)
+
+// ErrNoDocument means that deltas have come for a router without a document.
+var ErrNoDocument = errors.New("no document to apply deltas to")
+
+// Options configure a Feed. All fields are required.
+type Options struct {
+	// Decode decodes the document of the routes. The document is not changed afterwards. Decode is
+	// not called concurrently.
+	Decode func(document []byte) (*route.Table, error)
+	// Adopt puts routes in force unless newer ones are.
+	Adopt func(t *route.Table, source string, readAt time.Time)
+	// AgentsConnected reports whether an agent may send routes.
+	AgentsConnected func() bool
+	// ReadStore starts a read of the document from the store. StoreRead is called when it has
+	// succeeded, after Offer if the document has changed.
+	ReadStore func()
+	// OnSkipped is called if the store's revision has risen for another reason than a new version of
+	// the routes. The watch of the endpoints may have skipped a change.
+	OnSkipped func()
+	Log       zerolog.Logger
+}
+
+// Feed has the current document of the routes. Its methods may be called concurrently.
+type Feed struct {
+	opts Options
+
+	mu       sync.Mutex
+	document []byte
+	version  int64
+	// knownRevision is a revision of the store at which the document was the newest.
+	knownRevision int64
+	// unseenRevision is a revision at which there may be a newer one, unseenAt the time since which
+	// that is known. wantedVersion is a version that an agent has.
+	unseenRevision int64
+	unseenAt       time.Time
+	wantedVersion  int64
+	// reading reports whether a read of the store is in progress, readVersion the version before it.
+	// readForUnseen reports whether the read is for an unseen revision.
+	reading, readForUnseen bool
+	readVersion            int64
+	// nextReadAt is the earliest time of the next read, readInterval the last interval between two
+	// reads that found nothing new.
+	nextReadAt   time.Time
+	readInterval time.Duration
+}
+
+// New returns a feed without a document. The first read of the store must have been started.
+func New(opts Options) *Feed { return &Feed{opts: opts, reading: true} }
+
+// Version returns the version of the document; 0 if there is none.
+func (f *Feed) Version() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Offer adopts a document unless it is as old as the current one. revision is a revision of the store
+// at which it was the newest; 0 if unknown. The document must not be changed afterwards.
+func (f *Feed) Offer(document []byte, source string, revision int64, readAt time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offer(document, source, revision, readAt)
+}
+
+func (f *Feed) offer(document []byte, source string, revision int64, readAt time.Time) error {
+	table, err := f.opts.Decode(document)
+	if err != nil {
+		return fmt.Errorf("routes from %s: %w", source, err)
+	}
+	if table.Version < f.version {
+		return nil
+	}
+	f.knownRevision = max(f.knownRevision, revision)
+	if table.Version == f.version {
+		return nil
+	}
+	f.document, f.version = document, table.Version
+	f.opts.Adopt(table, source, readAt)
+	return nil
+}
+
+// OfferDeltas adopts the version to which deltas lead from the current one. Deltas from or to older
+// versions are ignored. Errors wrap ErrNoDocument or delta.ErrMismatch, or are those of Decode.
+func (f *Feed) OfferDeltas(list []delta.Delta, source string, revision int64, readAt time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.version == 0 {
+		return ErrNoDocument
+	}
+	document, version := f.document, f.version
+	for _, d := range list {
+		if d.From != version {
+			continue
+		}
+		var err error
+		if document, err = d.Apply(document); err != nil {
+			return fmt.Errorf("routes from %s: %w", source, err)
+		}
+		version = d.To
+	}
+	if version == f.version {
+		return nil
+	}
+	return f.offer(document, source, revision, readAt)
+}
+
+// Confirm notes that a version was the newest one at a revision of the store.
+func (f *Feed) Confirm(version, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version == f.version {
+		f.knownRevision = max(f.knownRevision, revision)
+	}
+}
+
+// Unseen notes a revision of the store at which there may be a newer version.
+func (f *Feed) Unseen(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= f.unseenRevision {
+		return
+	}
+	if f.unseenRevision <= f.knownRevision {
+		f.unseenAt = time.Now()
+	}
+	f.unseenRevision = revision
+}
+
+// Want notes a version that an agent has and has not sent in time.
+func (f *Feed) Want(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wantedVersion = max(f.wantedVersion, version)
+}
+
+// StoreRead notes that a read of the store has ended. Unless it called Offer, the document has not
+// changed up to the revision.
+func (f *Feed) StoreRead(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reading = false
+	f.knownRevision = max(f.knownRevision, revision)
+	if f.version > f.readVersion {
+		f.readInterval, f.nextReadAt = 0, time.Time{}
+		return
+	}
+	if time.Since(f.nextReadAt) > maxReadInterval {
+		f.readInterval = 0
+	}
+	f.readInterval = min(max(2*f.readInterval, minReadInterval), maxReadInterval)
+	f.nextReadAt = time.Now().Add(f.readInterval)
+	if f.readForUnseen {
+		f.opts.OnSkipped()
+	}
+}
+
+// Run reads the store when it must be read, until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.readIfDue(now)
+		}
+	}
+}
+
+// readIfDue starts a read of the store if a newer version is wanted or may be there.
+func (f *Feed) readIfDue(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reading || now.Before(f.nextReadAt) {
+		return
+	}
+	unseen := f.unseenRevision > f.knownRevision && !now.Before(f.unseenAt.Add(f.lead()))
+	if !unseen && f.wantedVersion <= f.version {
+		return
+	}
+	f.opts.Log.Info().Int64("version", f.version).Int64("wanted", f.wantedVersion).Int64("revision", f.knownRevision).
+		Int64("unseen", f.unseenRevision).Msg("reading routes from the store")
+	f.reading, f.readForUnseen, f.readVersion = true, unseen, f.version
+	f.opts.ReadStore()
+}
+
+// lead returns how long agents may take to send a new version.
+func (f *Feed) lead() time.Duration {
+	if f.opts.AgentsConnected() {
+		return agentLead
+	}
+	return 0
+}
--- /dev/null
+++ b/io/feed/feed_test.go
@@ -0,0 +1,189 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/core/delta"
+	"chervilreach/core/route"
+	"chervilreach/io/feed"
+)
+
+var errNoVersion = errors.New("no version")
+
+// decode decodes documents of the form "VERSION}TEXT".
+func decode(document []byte) (*route.Table, error) {
+	version, _, _ := strings.Cut(string(document), "}")
+	n, err := strconv.ParseInt(version, 10, 64)
+	if err != nil {
+		return nil, errNoVersion
+	}
+	return route.NewTable(n, route.Limits{}, nil, nil), nil
+}
+
+// router is a feed with a store and agents.
+type router struct {
+	t    *testing.T
+	feed *feed.Feed
+	// document and revision are those of the store.
+	document string
+	revision int64
+	// agents reports whether agents are connected.
+	agents bool
+	// adopted are the versions in the order of their adoption, with their sources.
+	adopted []string
+	reads   []time.Time
+	skipped int
+}
+
+// newRouter returns a router that has read version 1 at revision 1.
+func newRouter(t *testing.T) *router {
+	r := &router{t: t, document: "1}", revision: 1, agents: true}
+	r.feed = feed.New(feed.Options{
+		Decode: decode, AgentsConnected: func() bool { return r.agents }, Log: zerolog.Nop(),
+		Adopt: func(table *route.Table, source string, _ time.Time) {
+			r.adopted = append(r.adopted, fmt.Sprint(source, " ", table.Version))
+		},
+		ReadStore: func() {
+			r.reads = append(r.reads, time.Now())
+			go r.read()
+		},
+		OnSkipped: func() { r.skipped++ },
+	})
+	r.read()
+	r.adopted = nil
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go r.feed.Run(ctx)
+	return r
+}
+
+// read is what a mirror does when it reads the store.
+func (r *router) read() {
+	if err := r.feed.Offer([]byte(r.document), "store", r.revision, time.Now()); err != nil {
+		r.t.Error(err)
+	}
+	r.feed.StoreRead(r.revision)
+}
+
+// put writes a version, which the watch of the endpoints shows as a revision that it has not
+// delivered.
+func (r *router) put(version int64) {
+	r.document, r.revision = fmt.Sprint(version, "}"), r.revision+1
+	r.feed.Unseen(r.revision)
+}
+
+func TestSourceOfANewVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		run   func(r *router)
+		want  string
+		reads int
+	}{
+		"an agent sends a delta": {func(r *router) {
+			d := delta.Diff(1, 2, []byte("1}"), []byte("2}"))
+			r.put(2)
+			time.Sleep(100 * time.Millisecond)
+			require.NoError(r.t, r.feed.OfferDeltas([]delta.Delta{d}, "agent", r.revision, time.Now()))
+		}, "[agent 2]", 0},
+		"an agent sends it before the watch": {func(r *router) {
+			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
+			r.put(2)
+		}, "[agent 2]", 0},
+		"an agent has an older one": {func(r *router) {
+			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
+			r.revision = 2
+			r.put(3)
+			r.feed.Confirm(2, 2)
+		}, "[agent 2 store 3]", 1},
+		"agents are silent":        {func(r *router) { r.put(2) }, "[store 2]", 1},
+		"there are no agents":      {func(r *router) { r.agents = false; r.put(2) }, "[store 2]", 1},
+		"an agent fails to send":   {func(r *router) { r.document = "2}"; r.feed.Want(2) }, "[store 2]", 1},
+		"several versions at once": {func(r *router) { r.put(2); r.put(3); r.put(4) }, "[store 4]", 1},
+		"an agent confirms": {func(r *router) {
+			r.revision++
+			r.feed.Unseen(r.revision)
+			r.feed.Confirm(1, r.revision)
+		}, "[]", 0},
+		"an older document": {func(r *router) {
+			require.NoError(r.t, r.feed.Offer([]byte("0}"), "agent", 9, time.Now()))
+		}, "[]", 0},
+		"deltas from a version before": {func(r *router) {
+			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
+			d := []delta.Delta{delta.Diff(1, 2, []byte("1}"), []byte("2}")), delta.Diff(2, 3, []byte("2}"), []byte("3}"))}
+			require.NoError(r.t, r.feed.OfferDeltas(d, "agent", 3, time.Now()))
+		}, "[agent 2 agent 3]", 0},
+		"deltas of another document": {func(r *router) {
+			d := delta.Diff(1, 2, []byte("1}other}"), []byte("2}other}"))
+			require.ErrorIs(r.t, r.feed.OfferDeltas([]delta.Delta{d}, "agent", 2, time.Now()), delta.ErrMismatch)
+		}, "[]", 0},
+		"malformed document": {func(r *router) {
+			require.ErrorIs(r.t, r.feed.Offer([]byte("x"), "agent", 2, time.Now()), errNoVersion)
+			assert.EqualValues(r.t, 1, r.feed.Version())
+		}, "[]", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRouter(t)
+				c.run(r)
+				// A version must be in force within two seconds, most of which the watch may take.
+				time.Sleep(500 * time.Millisecond)
+				assert.Equal(t, c.want, fmt.Sprint(r.adopted))
+				time.Sleep(time.Minute)
+				assert.Len(t, r.reads, c.reads)
+				assert.Zero(t, r.skipped)
+			})
+		})
+	}
+}
+
+// A revision that rises for other reasons than routes costs few reads, and delays no version for long.
+func TestOtherRevisionsCauseFewReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(t)
+		for range 600 {
+			r.revision++
+			r.feed.Unseen(r.revision)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Less(t, len(r.reads), 14)
+		assert.Equal(t, len(r.reads), r.skipped, "a watch may have skipped a change")
+		r.put(2)
+		time.Sleep(9 * time.Second)
+		assert.Equal(t, []string{"store 2"}, r.adopted)
+		time.Sleep(20 * time.Second)
+		r.put(3)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, []string{"store 2", "store 3"}, r.adopted)
+	})
+}
+
+// Versions come faster than the store can be read: each read brings the newest one.
+func TestStormOfVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(t)
+		for version := range int64(100) {
+			r.put(version + 2)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		assert.EqualValues(t, 101, r.feed.Version())
+		// One read each 0.3 s, the lead of the agents.
+		assert.LessOrEqual(t, len(r.reads), 35)
+	})
+}
+
+func TestDeltasNeedADocument(t *testing.T) {
+	f := feed.New(feed.Options{Decode: decode})
+	err := f.OfferDeltas([]delta.Delta{delta.Diff(1, 2, []byte("1}"), []byte("2}"))}, "agent", 2, time.Now())
+	require.ErrorIs(t, err, feed.ErrNoDocument)
+}
--- a/io/mirror/fault_test.go
+++ b/io/mirror/fault_test.go
@@ -131,7 +131,8 @@
 	latest <- nil
 	m := New(Options{
 		Store: s, WatchPause: platformWatchPause, WatchWait: platformWatchWait, Log: zerolog.Nop(),
-		OnChange: func(entries map[string][]byte, _ bool, _ time.Time) {
+		OnChange: func(s Snapshot) {
+			entries := s.Entries
 			snapshot := make(map[string]string, len(entries))
 			for key, value := range entries {
 				snapshot[key] = string(value)
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -52,6 +52,8 @@
 	// its revision without changing a key causes little additional load.
 	minRereadInterval = time.Second
 	maxRereadInterval = 8 * time.Second
+	// watchingCheckInterval is how often a mirror that does not watch checks whether it must.
+	watchingCheckInterval = 250 * time.Millisecond
 	// maxRetention bounds how long a removed entry is kept after an outage. It is
 	// shorter than the time within which requests to a removed endpoint must stop.
 	maxRetention = 1500 * time.Millisecond
@@ -102,11 +104,31 @@
 	// changes made during the pause at once.
 	WatchPause time.Duration
 	Log        zerolog.Logger
-	// OnChange is called from Run with a snapshot of all entries after each change and
-	// after the first full read. The snapshot is a copy that the callee may keep.
-	// partial reports whether entries may be missing because no full read has completed
-	// yet, readAt when the store's last answer arrived.
-	OnChange func(snapshot map[string][]byte, partial bool, readAt time.Time)
+	// OnChange is called from Run after each change and after the first full read.
+	OnChange func(s Snapshot)
+	// Watching reports whether the mirror watches for changes. While it does not, it reads all
+	// keys once, and again after each Refresh. Nil means that it always watches.
+	Watching func() bool
+	// OnFullRead is called from Run after each full read with a revision of the store at which
+	// the entries were current, after OnChange. It may be nil.
+	OnFullRead func(revision int64)
+	// OnUnseen is called from Run with the latest revision of the store that neither a watch nor
+	// a full read has delivered: it changed a key outside the prefix, a watch has skipped it, or
+	// a full read found a later one of the same key. It may be nil.
+	OnUnseen func(revision int64)
+}
+
+// Snapshot is the state of a mirror at one time.
+type Snapshot struct {
+	// Entries has the values by key. It is a copy that the callee may keep, but the values
+	// must not be changed.
+	Entries map[string][]byte
+	// Partial reports whether entries may be missing because no full read has completed yet.
+	Partial bool
+	// ReadAt is the time at which the store's last answer arrived.
+	ReadAt time.Time
+	// Revision is a revision of the store at which the entries were current; 0 if Partial.
+	Revision int64
 }
 
 // Mirror is a local copy of the keys under a prefix. Run must be called once;
@@ -150,6 +172,8 @@
 	outageStart, lastOutageEnd time.Time
 	// fullReadDone reports whether a full read has completed since the start.
 	fullReadDone bool
+	// seenRevision is the revision up to which reportUnseen has looked.
+	seenRevision int64
 	// readAt is the time at which the store's last answer arrived.
 	readAt time.Time
 }
@@ -235,6 +259,10 @@
 		m.rereadNow = false
 		return m.readAll(ctx)
 	}
+	if m.opts.Watching != nil && !m.opts.Watching() {
+		m.awaitRefresh(ctx)
+		return nil
+	}
 	wait := m.opts.WatchWait
 	if at, ok := m.nextExpiry(); ok {
 		wait = min(wait, max(time.Until(at), time.Millisecond))
@@ -259,9 +287,54 @@
 	m.detectSkippedChange(items, cursor)
 	m.cursor = max(cursor, m.cursor)
 	m.apply(items)
+	m.reportUnseen(items)
 	return nil
 }
 
+// reportUnseen calls OnUnseen if none of the items has one of the revisions since the last call, up
+// to the cursor.
+func (m *Mirror) reportUnseen(items []Item) {
+	unseen := latestUnseen(items, m.seenRevision, m.cursor)
+	m.seenRevision = max(m.seenRevision, m.cursor)
+	if unseen > 0 && m.opts.OnUnseen != nil {
+		m.opts.OnUnseen(unseen)
+	}
+}
+
+// awaitRefresh waits until Refresh is called or the mirror watches again, and makes a full read due
+// then. The history since the last read may be long.
+func (m *Mirror) awaitRefresh(ctx context.Context) {
+	ticker := time.NewTicker(watchingCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.refresh:
+		case <-ticker.C:
+			if !m.opts.Watching() {
+				continue
+			}
+		}
+		m.cursor, m.rereadNow = 0, true
+		return
+	}
+}
+
+// latestUnseen returns the latest revision after from, up to to, that no item has; 0 if there is none.
+func latestUnseen(items []Item, from, to int64) int64 {
+	seen := make(map[int64]bool, len(items))
+	for _, it := range items {
+		seen[it.Revision] = true
+	}
+	for ; to > from; to-- {
+		if !seen[to] {
+			return to
+		}
+	}
+	return 0
+}
+
 // detectSkippedChange sets changeSkipped if a watch has advanced the cursor beyond
 // the revision of every item that it returned.
 func (m *Mirror) detectSkippedChange(items []Item, cursor int64) {
@@ -334,6 +407,10 @@
 		m.notify()
 	}
 	m.scheduleReread()
+	if m.opts.OnFullRead != nil {
+		m.opts.OnFullRead(cursor)
+	}
+	m.reportUnseen(items)
 	return nil
 }
 
@@ -435,7 +512,9 @@
 }
 
 // notify passes a copy of the entries to OnChange.
-func (m *Mirror) notify() { m.opts.OnChange(maps.Clone(m.entries), !m.fullReadDone, m.readAt) }
+func (m *Mirror) notify() {
+	m.opts.OnChange(Snapshot{Entries: maps.Clone(m.entries), Partial: !m.fullReadDone, ReadAt: m.readAt, Revision: m.cursor})
+}
 
 // retainUntil returns until when an entry that is removed now is retained for its
 // writer to write it again. The time is not after now if restoreWindow has passed
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -143,7 +143,8 @@
 	var latest map[string]string
 	m := New(Options{
 		Store: f, Prefix: "p/", WatchPause: time.Millisecond, WatchWait: 50 * time.Millisecond, Log: zerolog.Nop(),
-		OnChange: func(entries map[string][]byte, _ bool, _ time.Time) {
+		OnChange: func(s Snapshot) {
+			entries := s.Entries
 			mu.Lock()
 			defer mu.Unlock()
 			latest = make(map[string]string)
@@ -244,7 +245,7 @@
 
 // A page or watch may return an item older than one applied before.
 func TestOlderItemsAreLeftOut(t *testing.T) {
-	m := New(Options{OnChange: func(map[string][]byte, bool, time.Time) {}})
+	m := New(Options{OnChange: func(Snapshot) {}})
 	m.apply([]Item{{Key: "a", Value: []byte("new"), Revision: 7}})
 	m.apply([]Item{{Key: "a", Value: []byte("old"), Revision: 5}})
 	assert.Equal(t, "new", string(m.entries["a"]))
@@ -323,7 +324,7 @@
 		partial := make(map[int]bool)
 		m := New(Options{
 			Store: f, Prefix: "p/", WatchPause: time.Millisecond, WatchWait: 50 * time.Millisecond, Log: zerolog.Nop(),
-			OnChange: func(entries map[string][]byte, some bool, _ time.Time) { partial[len(entries)] = some },
+			OnChange: func(s Snapshot) { partial[len(s.Entries)] = s.Partial },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go m.Run(ctx)
--- /dev/null
+++ b/io/mirror/unseen_test.go
@@ -0,0 +1,98 @@
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+)
+
+// watchedMirror is a mirror of the keys under p/ that keeps what it reports.
+type watchedMirror struct {
+	*Mirror
+	entries  map[string][]byte
+	unseen   []int64
+	reads    []int64
+	watching atomic.Bool
+}
+
+func startWatchedMirror(t *testing.T, f Store) *watchedMirror {
+	m := &watchedMirror{}
+	m.watching.Store(true)
+	m.Mirror = New(Options{
+		Store: f, Prefix: "p/", WatchPause: time.Millisecond, WatchWait: 50 * time.Millisecond, Log: zerolog.Nop(),
+		OnChange: func(s Snapshot) { m.entries = s.Entries }, Watching: m.watching.Load,
+		OnFullRead: func(revision int64) { m.reads = append(m.reads, revision) },
+		OnUnseen:   func(revision int64) { m.unseen = append(m.unseen, revision) },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go m.Run(ctx)
+	time.Sleep(200 * time.Millisecond)
+	return m
+}
+
+func TestUnseenRevisions(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(f *fakeStore, m *watchedMirror)
+		want   []int64
+	}{
+		"key of the prefix": {func(f *fakeStore, _ *watchedMirror) { f.put("p/a", "2"); f.remove("p/a") }, nil},
+		"other key":         {func(f *fakeStore, _ *watchedMirror) { f.put("q/x", "1") }, []int64{2}},
+		"other key between others": {func(f *fakeStore, _ *watchedMirror) {
+			f.withLock(func() { f.dropChanges = false })
+			f.mu.Lock()
+			for _, key := range []string{"p/a", "q/x", "p/a"} {
+				f.revision++
+				it := Item{Key: key, Value: []byte("x"), Revision: f.revision}
+				f.items[key], f.history = it, append(f.history, it)
+			}
+			f.mu.Unlock()
+		}, []int64{3}},
+		"watch skips a change": {func(f *fakeStore, _ *watchedMirror) {
+			f.withLock(func() { f.dropChanges = true })
+			f.put("p/a", "2")
+		}, []int64{2}},
+		"full read of what was seen": {func(_ *fakeStore, m *watchedMirror) { m.Refresh() }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeStore()
+				f.put("p/a", "1")
+				m := startWatchedMirror(t, f)
+				c.change(f, m)
+				time.Sleep(200 * time.Millisecond)
+				assert.Equal(t, c.want, m.unseen)
+			})
+		})
+	}
+}
+
+// A mirror that does not watch reads once, and again when it is told to; one that begins to watch
+// does not ask for all changes since.
+func TestMirrorThatDoesNotWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore()
+		f.put("p/a", "1")
+		m := startWatchedMirror(t, f)
+		m.watching.Store(false)
+		time.Sleep(time.Second)
+		f.put("p/a", "2")
+		f.put("p/a", "3")
+		time.Sleep(time.Minute)
+		assert.Equal(t, "1", string(m.entries["p/a"]))
+		m.Refresh()
+		time.Sleep(time.Second)
+		assert.Equal(t, "3", string(m.entries["p/a"]))
+		f.put("p/a", "4")
+		f.compact()
+		m.watching.Store(true)
+		time.Sleep(time.Second)
+		assert.Equal(t, "4", string(m.entries["p/a"]))
+		assert.Equal(t, []int64{1, 3, 4}, m.reads)
+	})
+}
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -20,6 +20,7 @@
 	"chervilreach/core/route"
 	"chervilreach/io/admin"
 	"chervilreach/io/drain"
+	"chervilreach/io/feed"
 	"chervilreach/io/line"
 	"chervilreach/io/logs"
 	"chervilreach/io/mirror"
@@ -50,50 +51,47 @@
 // server get its text.
 var errNotReady = errors.New("routes or endpoints are not known yet, or the process is leaving")
 
-// RelayPlatform is the interface of a Relay to the users' platform. All fields but Prefix are
-// required.
+// RelayPlatform is the interface of a Relay to the users' platform. All fields are required.
 type RelayPlatform struct {
 	// Store is the client of the platform's key-value store.
 	Store mirror.Store
 	// HeaderCodec reads and writes the headers of requests and answers.
 	HeaderCodec relayd.HeaderCodec
-	// Prefix selects the keys of the store that the router watches; empty means all keys.
-	Prefix string
-	// Decoder decodes the watched keys.
-	Decoder SnapshotDecoder
+	// EndpointsPrefix and RoutesPrefix select the keys of the endpoint list and of the routes in
+	// the store.
+	EndpointsPrefix, RoutesPrefix string
+	// Endpoints decodes the endpoints listed in a snapshot of the store.
+	Endpoints func(snapshot map[string][]byte) []relay.EndpointEntry
 	// AgentAddr returns the address on which the agent of an endpoint listens. The address is
 	// invalid if the endpoint has no agent.
 	AgentAddr func(m relay.EndpointEntry) netip.AddrPort
-	// DecodeRoutes decodes the operator's routes from the document in the store, which agents
-	// send too.
+	// RoutesDocument returns the document of the operator's routes in a snapshot of the store; nil
+	// if it is missing.
+	RoutesDocument func(snapshot map[string][]byte) []byte
+	// DecodeRoutes decodes the document. It is not called concurrently, and the document is not
+	// changed afterwards.
 	DecodeRoutes func(document []byte) (*route.Table, error)
 	// ReadyPath is the URL path of the load balancer's readiness checks.
 	ReadyPath string
 }
 
-// SnapshotDecoder decodes snapshots of the store, given as values by key.
-type SnapshotDecoder interface {
-	// Routes returns the operator's routes; nil if no valid ones are known.
-	Routes(snapshot map[string][]byte) *route.Table
-	// Endpoints returns the listed endpoints.
-	Endpoints(snapshot map[string][]byte) []relay.EndpointEntry
-}
-
 // Relay is a router process on the users' platform. Start must be called first, then Stop
 // once.
 type Relay struct {
-	cfg             *config.PlatformConfig
-	platform        RelayPlatform
-	log             *logs.Log
-	daemon          *relayd.Daemon
-	registry        metrics.Registry
-	recorder        *line.Recorder
-	startedAt       time.Time
-	adminServer     *http.Server
-	mirror          *mirror.Mirror
-	callerServer    *drain.Server
-	readinessServer *http.Server
-	stop            context.CancelFunc
+	cfg         *config.PlatformConfig
+	platform    RelayPlatform
+	log         *logs.Log
+	daemon      *relayd.Daemon
+	registry    metrics.Registry
+	recorder    *line.Recorder
+	startedAt   time.Time
+	adminServer *http.Server
+	// endpoints watches the endpoint list, routes reads the routes when routesFeed asks for it.
+	endpoints, routes *mirror.Mirror
+	routesFeed        *feed.Feed
+	callerServer      *drain.Server
+	readinessServer   *http.Server
+	stop              context.CancelFunc
 	// failed receives the errors of callerServer and readinessServer.
 	failed chan error
 }
@@ -105,18 +103,30 @@
 	clock := &event.Clock{}
 	r.registry = metrics.NewRegistry()
 	r.recorder = newPlatformRecorder(cfg, log, clock, r.registry)
+	r.routesFeed = feed.New(feed.Options{
+		Decode: platform.DecodeRoutes, Log: log.Logger,
+		AgentsConnected: func() bool { return r.daemon.AgentsConnected() },
+		Adopt: func(t *route.Table, source string, readAt time.Time) {
+			r.daemon.AdoptRoutes(t, relayd.Origin{Source: source, ReadAt: readAt})
+		},
+		ReadStore: func() { r.routes.Refresh() },
+		OnSkipped: func() { r.endpoints.Refresh() },
+	})
 	r.daemon = relayd.New(relayd.Options{
 		Settings:    relaySettings(cfg),
 		HeaderCodec: platform.HeaderCodec, Log: log.Logger, Clock: clock,
 		Recorder: r.recorder, Metrics: r.registry,
 		AgentAddr:         platform.AgentAddr,
 		MaxTotalBodyBytes: int64(cfg.Callers.MaxTotalBody),
-		OnStaleRoutes:     func() { r.mirror.Refresh() },
-		DecodeRoutes:      platform.DecodeRoutes,
+		Routes:            r.routesFeed,
+	})
+	r.endpoints = mirror.New(mirror.Options{
+		Store: platform.Store, Prefix: platform.EndpointsPrefix, WatchPause: cfg.Store.WatchPause, WatchWait: cfg.Store.WatchWait, Log: log.Logger,
+		OnChange: r.onEndpoints, OnUnseen: r.routesFeed.Unseen,
 	})
-	r.mirror = mirror.New(mirror.Options{
-		Store: platform.Store, Prefix: platform.Prefix, WatchPause: cfg.Store.WatchPause, WatchWait: cfg.Store.WatchWait, Log: log.Logger,
-		OnChange: r.onStoreChange,
+	r.routes = mirror.New(mirror.Options{
+		Store: platform.Store, Prefix: platform.RoutesPrefix, Log: log.Logger, Watching: func() bool { return false },
+		OnChange: r.onRoutes, OnFullRead: r.routesFeed.StoreRead,
 	})
 	errorLog := logs.ErrorLog(log.Logger)
 	r.callerServer = drain.New(&http.Server{
@@ -163,18 +173,28 @@
 	r.startedAt = time.Now()
 	r.adminServer = serveAdmin(l, admin.HandlerConfig{Source: r, Recorder: r.recorder, Metrics: r.registry, Acquitter: r.daemon})
 	go r.daemon.Run(ctx)
-	go r.mirror.Run(ctx)
+	go r.endpoints.Run(ctx)
+	go r.routes.Run(ctx)
+	go r.routesFeed.Run(ctx)
 	r.log.Info().Stringer("callers", r.cfg.Callers.Listen).Msg("started")
 	return nil
 }
 
-// onStoreChange adopts the routes and endpoints in a snapshot of the store. partial reports that
-// it may lack keys, readAt when it was read.
-func (r *Relay) onStoreChange(snapshot map[string][]byte, partial bool, readAt time.Time) {
-	if t := r.platform.Decoder.Routes(snapshot); t != nil {
-		r.daemon.AdoptRoutes(t, relayd.Origin{Source: "store", ReadAt: readAt})
+// onEndpoints adopts the endpoints in a snapshot of the store.
+func (r *Relay) onEndpoints(s mirror.Snapshot) {
+	r.daemon.SetEndpoints(r.platform.Endpoints(s.Entries), s.Partial, s.ReadAt)
+}
+
+// onRoutes adopts the routes in a snapshot of the store. If they are malformed, the last valid ones
+// stay in use.
+func (r *Relay) onRoutes(s mirror.Snapshot) {
+	document := r.platform.RoutesDocument(s.Entries)
+	if document == nil {
+		return
+	}
+	if err := r.routesFeed.Offer(document, "store", s.Revision, s.ReadAt); err != nil {
+		r.log.Error().Err(err).Msg("invalid operator's configuration ignored, the last valid one stays in use")
 	}
-	r.daemon.SetEndpoints(r.platform.Decoder.Endpoints(snapshot), partial, readAt)
 }
 
 // server is an http.Server or a drain.Server.
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -27,10 +28,14 @@
 	// failure.
 	fencingRetryPause = 300 * time.Millisecond
 	// watchPause is the pause between two watches of the operator's keys.
-	watchPause = 500 * time.Millisecond
+	watchPause = 200 * time.Millisecond
 	// maxRoutesLag is how long an agent may have older routes than a router before it reads
-	// the store again.
-	maxRoutesLag = 3 * time.Second
+	// the store again, maxRoutesLagJitter what is added at most, so that the agents of a fleet
+	// don't read at the same time.
+	maxRoutesLag       = 3 * time.Second
+	maxRoutesLagJitter = 3 * time.Second
+	// askedDuration is how long after a router has asked for routes the agent watches for new ones.
+	askedDuration = 15 * time.Second
 	// watchWait is how long a watch waits for a change. As a watch may hang, it bounds how
 	// late an agent sees a change of its engine's capacity. It may be long because no
 	// answer to a caller waits for such a change.
@@ -75,9 +80,10 @@
 
 	mu sync.Mutex
 	// missingVersion is a version of the routes that a router has and that was newer than the
-	// agent's at the time missingSince; 0 if there is none.
+	// agent's; 0 if there is none.
 	missingVersion int64
-	missingSince   time.Time
+	// missingUntil is when the store is read for it.
+	missingUntil time.Time
 }
 
 // NewSwap returns an agent that has not been started. The settings must be complete for an
@@ -89,7 +95,7 @@
 	s.recorder = newPlatformRecorder(cfg, log, clock, s.registry)
 	s.mirror = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.Prefix, WatchPause: watchPause, WatchWait: watchWait, Log: log.Logger,
-		OnChange: s.onStoreChange,
+		OnChange: s.onStoreChange, Watching: s.watchesRoutes,
 	})
 	s.daemon = swapd.New(swapd.Options{
 		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder, Metrics: s.registry,
@@ -127,27 +133,31 @@
 
 // onStaleRoutes is called when a router has a newer version of the routes. It requests a full
 // read of the store if the agent's own watch does not deliver that version or a newer one
-// within maxRoutesLag. No answer to a caller waits for it.
+// within maxRoutesLag and its jitter. No answer to a caller waits for it.
 func (s *Swap) onStaleRoutes(version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.missingVersion == 0 || s.daemon.RoutesVersion() >= s.missingVersion {
-		s.missingVersion, s.missingSince = version, time.Now()
+		s.missingVersion, s.missingUntil = version, time.Now().Add(maxRoutesLag+rand.N(maxRoutesLagJitter))
 		return
 	}
-	if time.Since(s.missingSince) > maxRoutesLag {
+	if time.Now().After(s.missingUntil) {
 		s.missingVersion = 0
 		s.mirror.Refresh()
 	}
 }
 
 // onStoreChange adopts the routes in a snapshot of the store.
-func (s *Swap) onStoreChange(snapshot map[string][]byte, _ bool, _ time.Time) {
-	if t := s.platform.Routes(snapshot); t != nil {
-		s.daemon.AdoptRoutes(t.Engine(s.cfg.Endpoint.Service), t.Version, s.platform.RoutesDocument(snapshot))
+func (s *Swap) onStoreChange(snapshot mirror.Snapshot) {
+	if t := s.platform.Routes(snapshot.Entries); t != nil {
+		s.daemon.AdoptRoutes(t.Engine(s.cfg.Endpoint.Service), t.Version, snapshot.Revision, s.platform.RoutesDocument(snapshot.Entries))
 	}
 }
 
+// watchesRoutes reports whether the agent watches the store for new routes: while routers ask for
+// them. Otherwise it reads them when routers have newer ones.
+func (s *Swap) watchesRoutes() bool { return time.Since(s.daemon.RoutesAskedAt()) < askedDuration }
+
 // acquireFencingToken requests a fencing token until it has one or ctx is canceled.
 func (s *Swap) acquireFencingToken(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -27,11 +27,6 @@
 	// listed one before the change is accepted. Its first reports may be older than the
 	// list.
 	instanceChangeDelay = 700 * time.Millisecond
-	// routesWatchTimeout is how long the router waits for its own watch of the store to
-	// deliver a version of the routes that an agent already has.
-	routesWatchTimeout = 500 * time.Millisecond
-	// routesFetchTimeout bounds a request to an agent for its routes.
-	routesFetchTimeout = time.Second
 	// reportTimeout is the longest time without a report before the connection to an agent
 	// is closed. Agents of many routers report only every few seconds, and pings detect a
 	// dead connection much sooner.
@@ -257,51 +252,3 @@
 	a.byInstance[instance] = agent
 	return true
 }
-
-// catchUpRoutes obtains a version of the routes that the agent has and the router lacks.
-// If the router's own watch does not deliver it within routesWatchTimeout, it asks for the
-// store to be read again and also fetches the routes from the agent; whichever is faster
-// takes effect.
-func (a *agentConns) catchUpRoutes(conn *wire.Conn, source string, version int64) {
-	defer a.catchingUp.Store(false)
-	select {
-	case <-a.ctx.Done():
-		return
-	case <-time.After(routesWatchTimeout):
-	}
-	if (selfInfo{a.d}).Revision() >= version {
-		return
-	}
-	a.d.log.Info().Int64("version", (selfInfo{a.d}).Revision()).Int64("known-elsewhere", version).Msg("routes lag behind")
-	a.d.opts.OnStaleRoutes()
-	if err := a.fetchRoutes(conn, source); err != nil {
-		a.d.log.Warn().Err(err).Msg("could not fetch routes from agent")
-	}
-}
-
-// fetchRoutes requests the routes from the agent beside the endpoint source and adopts them.
-func (a *agentConns) fetchRoutes(conn *wire.Conn, source string) error {
-	s, err := conn.Open()
-	if err != nil {
-		return err
-	}
-	defer func() { _ = s.Close() }()
-	if err := s.SetDeadline(time.Now().Add(routesFetchTimeout)); err != nil {
-		return err
-	}
-	request := &wirepb.Routes{Version: (selfInfo{a.d}).Revision()}
-	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: request}}); err != nil {
-		return err
-	}
-	f, err := s.Recv()
-	if err != nil {
-		return err
-	}
-	readAt := time.Now()
-	table, err := a.d.opts.DecodeRoutes(f.GetRoutes().GetDocument())
-	if err != nil {
-		return err
-	}
-	a.d.AdoptRoutes(table, Origin{Source: source, ReadAt: readAt})
-	return nil
-}
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"chervilreach/core/delta"
 	"chervilreach/core/event"
 	"chervilreach/core/poison"
 	"chervilreach/core/relay"
@@ -38,17 +39,29 @@
 	// AgentAddr returns the address on which the agent of an endpoint listens. The
 	// address is invalid if the endpoint has no agent.
 	AgentAddr func(m relay.EndpointEntry) netip.AddrPort
-	// OnStaleRoutes is called when an agent has a newer version of the routes. It should
-	// cause the store to be read again.
-	OnStaleRoutes func()
-	// DecodeRoutes decodes the operator's routes from the document that agents send.
-	DecodeRoutes func(document []byte) (*route.Table, error)
+	// Routes adopts the routes that agents send.
+	Routes RoutesFeed
 	// MaxTotalBodyBytes bounds the total size of the bodies of all requests in progress. A
 	// body counts once it has been read, so that requests which arrive together can exceed
 	// the bound.
 	MaxTotalBodyBytes int64
 }
 
+// RoutesFeed adopts the versions of the operator's routes that agents send. Its methods may be
+// called concurrently.
+type RoutesFeed interface {
+	// Version returns the version of the current document; 0 if there is none.
+	Version() int64
+	// Offer adopts a document, and OfferDeltas the one to which deltas lead, unless the current one is
+	// as new. revision is a revision of the store at which it was the newest.
+	Offer(document []byte, source string, revision int64, readAt time.Time) error
+	OfferDeltas(list []delta.Delta, source string, revision int64, readAt time.Time) error
+	// Confirm notes that a version was the newest at a revision of the store.
+	Confirm(version, revision int64)
+	// Want notes a version that an agent has and has not sent in time.
+	Want(version int64)
+}
+
 // Daemon is a router. It implements http.Handler for callers. Its methods may be called
 // concurrently.
 type Daemon struct {
@@ -103,6 +116,7 @@
 	defer d.agents.stop()
 	defer d.cancelAttempts()
 	go d.prune(ctx)
+	go d.agents.askSources(ctx)
 	d.loop.Run(ctx, executor{d, ctx})
 }
 
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"chervilreach/core/delta"
 	"chervilreach/core/event"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
@@ -79,11 +80,13 @@
 	// lastSnapshot is the last snapshot of the endpoint, including its instance name. It is
 	// zero after a failed poll; the name must be requested again then.
 	lastSnapshot swap.Snapshot
-	// routesVersion and routesDocument are the operator's routes as stored; zero if there are
-	// none yet.
-	routesVersion  int64
-	routesDocument []byte
-	lastAskNumber  uint64
+	// routes has the operator's routes as stored. routesRevision is a revision of the store at
+	// which they were the newest.
+	routes         delta.History
+	routesRevision int64
+	// routesAskedAt is the time at which a router last asked for routes.
+	routesAskedAt time.Time
+	lastAskNumber uint64
 	// permitAsks has the channel to which the answer to an ask for a permit goes, by the ask's
 	// number.
 	permitAsks map[uint64]chan swap.PermitAnswered
@@ -108,15 +111,20 @@
 }
 
 // AdoptRoutes sets the capacity of the endpoint's engine, which is nil if its service has no
-// models, and the routes from which it was read. Routers can fetch the document of the routes
-// from the agent.
-func (d *Daemon) AdoptRoutes(engine *route.Engine, version int64, document []byte) {
+// models, and the routes from which it was read, unless newer ones are known. revision is a revision
+// of the store at which they were the newest. Routers can fetch the document from the agent.
+func (d *Daemon) AdoptRoutes(engine *route.Engine, version, revision int64, document []byte) {
 	d.mu.Lock()
-	newer := version > d.routesVersion
-	d.routesVersion, d.routesDocument = version, document
+	before, _ := d.routes.Latest()
+	if version < before {
+		d.mu.Unlock()
+		return
+	}
+	d.routes.Add(version, document)
+	d.routesRevision = max(d.routesRevision, revision)
 	latest := d.latestReport
 	d.mu.Unlock()
-	if newer && latest.Instance != "" {
+	if version > before && latest.Instance != "" {
 		// Each frame carries the version. Routers whose watch of the store has missed the change
 		// must learn of it soon.
 		d.publish(latest)
@@ -126,16 +134,17 @@
 
 // RoutesVersion returns the version of the agent's routes; 0 if it has none.
 func (d *Daemon) RoutesVersion() int64 {
-	version, _ := d.routes()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	version, _ := d.routes.Latest()
 	return version
 }
 
-// routes returns the version and the document of the operator's routes; 0 and nil if there are
-// none.
-func (d *Daemon) routes() (int64, []byte) {
+// RoutesAskedAt returns the time at which a router last asked for routes; zero if none has.
+func (d *Daemon) RoutesAskedAt() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.routesVersion, d.routesDocument
+	return d.routesAskedAt
 }
 
 // SetFencingToken sets the agent's fencing token. No orders are sent before.
@@ -155,8 +164,7 @@
 // Revision implements wire.Self. It returns the version of the agent's routes; 0 if it has
 // none.
 func (s selfInfo) Revision() int64 {
-	version, _ := s.d.routes()
-	return version
+	return s.d.RoutesVersion()
 }
 
 // Serve implements wire.Handler. The first frame determines the use of the stream: a hello, a
@@ -168,8 +176,8 @@
 		d.serveHello(s)
 		return
 	}
-	if first.GetRoutes() != nil {
-		d.sendRoutes(s)
+	if ask := first.GetRoutes(); ask != nil {
+		d.sendRoutes(s, ask)
 		return
 	}
 	if l := first.GetEndpointLimit(); l != nil {
@@ -203,21 +211,42 @@
 		demand := wire.DecodeDemand(time.Now(), body)
 		sendBrief.Store(demand.ReportGap > 0)
 		d.loop.Post(swap.DemandReceived{Router: id, Demand: demand})
-		if version, _ := d.routes(); f.GetRevision() > version {
+		if f.GetRevision() > d.RoutesVersion() {
 			d.opts.OnStaleRoutes(f.GetRevision())
 		}
 	}
 }
 
 // sendRoutes answers a router's request for the routes.
-func (d *Daemon) sendRoutes(s *wire.Stream) {
-	version, document := d.routes()
-	body := &wirepb.Routes{Version: version, Document: document}
-	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: body}}); err != nil {
+func (d *Daemon) sendRoutes(s *wire.Stream, ask *wirepb.Routes) {
+	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: d.routesSince(ask)}}); err != nil {
 		d.log.Info().Err(err).Msg("could not send routes to router")
 	}
 }
 
+// routesSince returns the routes for a router that has those of another version: nothing new, deltas
+// or the whole document.
+func (d *Daemon) routesSince(ask *wirepb.Routes) *wirepb.Routes {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routesAskedAt = time.Now()
+	version, document := d.routes.Latest()
+	answer := &wirepb.Routes{Version: version, StoreRevision: d.routesRevision}
+	if !ask.GetAcceptsDeltas() {
+		answer.Document = document
+		return answer
+	}
+	if ask.GetVersion() >= version {
+		return answer
+	}
+	if list, ok := d.routes.Since(ask.GetVersion()); ok {
+		answer.Deltas = wire.EncodeDeltas(list)
+	} else {
+		answer.Document = document
+	}
+	return answer
+}
+
 // serveHello answers a hello and keeps the stream open until the router closes it.
 func (d *Daemon) serveHello(s *wire.Stream) {
 	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: selfInfo{d}.Hello()}}); err != nil {
