core/poison, io/relayd: name the whole request in the line of a broken attempt

A hash of service, caller, method, host, URI and body is the same for its repeats. Nothing that is decided changes.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -40,6 +40,8 @@
 	// LastEvent is the number of the last stream event that the caller has received, or
 	// NoEvent.
 	LastEvent int64
+	// Whole stands for the whole request, the same for its repeats; 0 if unknown.
+	Whole poison.Part
 }
 
 // RequestArrived reports a new request.
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"chervilreach/core/poison"
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
@@ -43,6 +44,8 @@
 	// AttemptID is the ID that the caller gave the request. Each retry by the caller has a
 	// new one.
 	AttemptID string
+	// Caller identifies who sent the request; empty if the headers do not tell.
+	Caller string
 	// Item is the requested model or adapter; zero for services without models.
 	Item stock.Item
 	// TokensIn is the prompt length in tokens, TokensOut the maximum number of tokens to
@@ -160,14 +163,16 @@
 	if err != nil {
 		return nil, err
 	}
+	service := rt.PickService(info.AttemptID)
 	x := &exchange{
 		d: d, w: w, rc: http.NewResponseController(w), r: r, body: body, route: rt,
 		commands:    make(chan any, commandQueueSize),
 		lastEventID: info.LastEventID,
 		request: relay.Request{
-			AttemptID: info.AttemptID, Route: rt, Service: rt.PickService(info.AttemptID), Item: info.Item,
+			AttemptID: info.AttemptID, Route: rt, Service: service, Item: info.Item,
 			TokensIn: info.TokensIn, TokensOut: info.TokensOut, Prefix: info.Prefix,
 			Deadline: deadline, LastEvent: info.LastEventID,
+			Whole: poison.RequestPart(service, info.Caller, r.Method, r.Host, r.RequestURI, body),
 		},
 	}
 	return x, nil
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -72,7 +72,7 @@
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
 		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err)
 	if ended.Result == relay.Broken {
-		line = line.Bool("head", ended.HeadReceived).Strs("parts", x.partIDs())
+		line = line.Bool("head", ended.HeadReceived).Strs("parts", x.partIDs()).Stringer("whole", x.request.Whole)
 	}
 	if x.limitHeader != "" {
 		line = line.Str("limit", x.limitHeader)
