core/poison, core/relay: convict whole requests that crash endpoints

Cause: judges looked at the parts of prompts only (plain requests have none, and a service without agents had no judges), a crash without an agent was known 0.1 to 3.3 s late, and three crashes within 30 ms would have counted as one.

Now a hash of the whole request is a suspect like a part, told and lifted by the same judges, and a router that loses an attempt where there is no agent checks the port at once.

Ruled out: a bound on the attempts of one arrival alone, as each router begins anew.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -63,9 +63,9 @@
 	instance string
 	at       time.Time
 	suspects map[Part]Suspect
-	// answering reports whether the endpoint had begun to answer any of the requests. Only
-	// the parts of such requests are suspects then, as a part crashes the endpoint that
-	// begins to answer it.
+	// answering reports whether the endpoint had begun to answer any of the requests. Of the
+	// parts of prompts, only those of such requests are suspects then, as a part crashes the
+	// endpoint that begins to answer it.
 	answering bool
 }
 
@@ -77,7 +77,7 @@
 // isSuspect reports whether the part may have caused the crash.
 func (c *crash) isSuspect(p Part) bool {
 	s, ok := c.suspects[p]
-	return ok && (s.Answering || !c.answering)
+	return ok && (s.Answering || s.Whole || !c.answering)
 }
 
 // inSameRequest reports whether both parts may have caused the crash and were in one request. Two
@@ -102,7 +102,7 @@
 		if !ok && len(known.suspects) >= maxSuspects && (!s.Answering || !known.dropUnanswered()) {
 			continue
 		}
-		s.Answering, s.Depth = s.Answering || old.Answering, max(s.Depth, old.Depth)
+		s.Answering, s.Whole, s.Depth = s.Answering || old.Answering, s.Whole || old.Whole, max(s.Depth, old.Depth)
 		if old.SentAt.After(s.SentAt) {
 			s.SentAt = old.SentAt
 		}
@@ -281,14 +281,16 @@
 
 // crashCounts returns for each suspect the number of its crashes one after the other: a crash
 // counts only if a request with the part was sent after the one before, and herdSpread after it.
-// Endpoints that go down together count as one crash.
+// Endpoints that go down together count as one crash. That a whole request is sent again to an endpoint
+// that is about to go down with the others is rare, while one that crashes endpoints is repeated within
+// milliseconds: for it, herdSpread does not apply.
 func (j *Judge) crashCounts(now time.Time) map[Part]crashCount {
 	counts := make(map[Part]crashCount)
 	for _, c := range j.crashes {
 		explained := j.isExplained(c, now)
 		for p, s := range c.suspects {
 			n := counts[p]
-			isNext := n.all == 0 || s.SentAt.After(n.lastAt) && c.at.After(n.lastAt.Add(herdSpread))
+			isNext := n.all == 0 || s.SentAt.After(n.lastAt) && (s.Whole || c.at.After(n.lastAt.Add(herdSpread)))
 			if !isNext || !c.isSuspect(p) || j.isUsedUp(p, c.at) {
 				continue
 			}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -8,7 +8,8 @@
 //
 // Terms of this package:
 //   - A part is a section of a prompt that the prompts of other requests may contain too,
-//     identified by the hash of its ID.
+//     identified by the hash of its ID. A whole request counts as a part too, the one that only
+//     its repeats contain.
 //   - A suspect is a part that was in an unanswered request at an endpoint when it crashed.
 //   - A verdict convicts a part, or lifts an earlier conviction.
 package poison
@@ -39,7 +40,7 @@
 // ErrNotConvicted means that a part is not convicted, as far as the process knows.
 var ErrNotConvicted = errors.New("part is not convicted")
 
-// Part identifies a part of a prompt.
+// Part identifies a part of a prompt, or a whole request.
 type Part uint64
 
 // PartOf returns the part with the given ID in the prompts of a service. IDs are chosen by callers,
@@ -72,6 +73,9 @@
 	Depth int
 	// Answering reports whether the endpoint had begun to answer the request.
 	Answering bool
+	// Whole reports whether the part is a whole request. It may crash endpoints before they begin
+	// to answer.
+	Whole bool
 }
 
 // Crash is the crash of an endpoint as one router knows it.
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -111,6 +111,8 @@
 	Stopping Reason = "stopping"
 	// PromptCrashes means that a part of the prompt crashes endpoints.
 	PromptCrashes Reason = "prompt-crashes-endpoints"
+	// RequestCrashes means that the request crashes endpoints.
+	RequestCrashes Reason = "request-crashes-endpoints"
 )
 
 // Refuse rejects a request that has not run and will not run.
@@ -234,6 +236,15 @@
 // Kind implements event.Effect.
 func (LimitChanged) Kind() string { return "relay-limit-changed" }
 
+// CheckPort asks whether the host of an endpoint refuses connections. The answer comes as PortChecked.
+type CheckPort struct {
+	Instance string
+	Address  netip.AddrPort
+}
+
+// Kind implements event.Effect.
+func (CheckPort) Kind() string { return "relay-check-port" }
+
 // EndpointLeaving reports that an endpoint has begun to leave or is gone, for the log.
 type EndpointLeaving struct {
 	Endpoint string
@@ -303,7 +314,7 @@
 // PartRefused reports that a request is refused for a convicted part of its prompt, for the log.
 type PartRefused struct {
 	ID RequestID
-	// PartID is the ID of the part in the request.
+	// PartID is the ID of the part in the request; empty if it is the whole request.
 	PartID  string
 	Verdict poison.Verdict
 }
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -21,8 +21,8 @@
 	switch ev.Result {
 	case Done, Abandoned:
 		e.recordOutcome(false, s.now)
-		if ev.PromptServed {
-			s.noteAnswered(r)
+		if ev.Result == Done {
+			s.noteAnswered(r, ev.PromptServed)
 		}
 		s.drop(r)
 	case Expired:
@@ -49,6 +49,9 @@
 	case Shed:
 		s.retryOrRefuse(r, e)
 	case Broken, Failed:
+		if ev.Result == Failed {
+			s.noteAnswered(r, false)
+		}
 		r.possibleRunCount++
 		if s.refuseIfConvicted(r) {
 			// The part is the cause, or the router has aborted the attempt for it.
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -85,6 +85,8 @@
 	askAgainAt time.Time
 	// lostAttempts are the attempts that the endpoint's crash may have ended.
 	lostAttempts []lostAttempt
+	// checkingPort reports whether the answer to CheckPort is awaited.
+	checkingPort bool
 	// toldCrashCount is the number of the router's crashes (poisonState.crashCount) when the agent
 	// was last told the recent ones.
 	toldCrashCount int
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -56,6 +56,15 @@
 // Routine implements event.Routine.
 func (RequestArrived) Routine() {}
 
+// PortChecked reports whether the host of an endpoint refuses connections, as asked by CheckPort.
+type PortChecked struct {
+	Instance string
+	Refused  bool
+}
+
+// Kind implements event.Event.
+func (PortChecked) Kind() string { return "relay-port-checked" }
+
 // CallerDone reports that the caller has disconnected or has received its complete
 // answer.
 type CallerDone struct {
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -83,12 +83,15 @@
 	return r.Prefix[:min(len(r.Prefix)-1, maxSharedParts)]
 }
 
-// convictedPart returns the verdict on a part of the request's prompt for which the request must be
-// refused, and the part.
+// convictedPart returns the verdict on the request or on a part of its prompt for which it must be
+// refused, and the part; zero for the whole request.
 func (s *State) convictedPart(r *request) (PromptPart, poison.Verdict, bool) {
 	if len(s.poison.verdicts) == 0 {
 		return PromptPart{}, poison.Verdict{}, false
 	}
+	if v := s.poison.verdicts[r.Whole]; r.Whole != 0 && v.InForce(s.now) {
+		return PromptPart{}, v, true
+	}
 	for _, p := range r.sharedParts() {
 		if v := s.poison.verdicts[poison.PartOf(r.Service, p.ID)]; v.InForce(s.now) {
 			return p, v, true
@@ -97,7 +100,7 @@
 	return PromptPart{}, poison.Verdict{}, false
 }
 
-// refuseIfConvicted answers the request if its prompt has a convicted part.
+// refuseIfConvicted answers the request if it is convicted or its prompt has a convicted part.
 func (s *State) refuseIfConvicted(r *request) bool {
 	part, v, ok := s.convictedPart(r)
 	if !ok {
@@ -105,12 +108,23 @@
 	}
 	s.emitCount("parts.refused")
 	s.emit(PartRefused{ID: r.id, PartID: part.ID, Verdict: v})
-	s.refuseOrFail(r, PromptCrashes, v.ExpiresAt())
+	reason := PromptCrashes
+	if v.Part == r.Whole {
+		reason = RequestCrashes
+	}
+	s.refuseOrFail(r, reason, v.ExpiresAt())
 	return true
 }
 
-// noteAnswered notes that the request's prompt does not crash endpoints.
-func (s *State) noteAnswered(r *request) {
+// noteAnswered notes that the request does not crash endpoints. promptServed reports whether its
+// prompt has been served, so that none of the parts does either.
+func (s *State) noteAnswered(r *request, promptServed bool) {
+	if r.Whole != 0 {
+		s.poison.answered.Add(s.now, r.Whole)
+	}
+	if !promptServed {
+		return
+	}
 	for _, p := range r.sharedParts() {
 		s.poison.answered.Add(s.now, poison.PartOf(r.Service, p.ID))
 	}
@@ -122,21 +136,49 @@
 	if !ev.Cut || e.Leaving || r.answerBegan && !s.now.Before(r.answerBeganAt.Add(answerSettleTime)) {
 		return
 	}
-	var suspects []poison.Suspect
-	for depth, p := range r.sharedParts() {
-		if part := poison.PartOf(r.Service, p.ID); !s.poison.answered.Recently(s.now, part) {
-			suspects = append(suspects, poison.Suspect{Part: part, Depth: depth})
-		}
-	}
 	if len(e.lostAttempts) >= maxLostAttempts {
 		e.lostAttempts = e.lostAttempts[1:]
 	}
 	e.lostAttempts = append(e.lostAttempts, lostAttempt{
-		sentAt: r.sentAt, lostAt: s.now, suspects: suspects, answering: ev.HeadReceived,
+		sentAt: r.sentAt, lostAt: s.now, suspects: s.suspectsIn(r), answering: ev.HeadReceived,
 	})
-	if e.Stock.Down {
+	switch {
+	case e.Stock.Down:
 		s.reportCrash(e)
+	case !e.hasAgent && !e.checkingPort:
+		// No agent tells that the endpoint is gone, and the router may not use it again for long.
+		e.checkingPort = true
+		s.emit(CheckPort{Instance: e.Instance, Address: e.Address})
+	}
+}
+
+// suspectsIn returns the suspects in a request: the whole request and the shared parts of its prompt,
+// but for those that have been answered lately.
+func (s *State) suspectsIn(r *request) []poison.Suspect {
+	var suspects []poison.Suspect
+	parts := r.sharedParts()
+	for depth, p := range parts {
+		suspects = append(suspects, poison.Suspect{Part: poison.PartOf(r.Service, p.ID), Depth: depth})
+	}
+	if r.Whole != 0 {
+		suspects = append(suspects, poison.Suspect{Part: r.Whole, Depth: len(parts), Whole: true})
+	}
+	return slices.DeleteFunc(suspects, func(suspect poison.Suspect) bool { return s.poison.answered.Recently(s.now, suspect.Part) })
+}
+
+// handlePortChecked takes an endpoint whose host refuses connections for crashed, if the router has
+// lost attempts there.
+func (s *State) handlePortChecked(ev PortChecked) {
+	e := s.endpoint(ev.Instance)
+	if e == nil {
+		return
+	}
+	e.checkingPort = false
+	if !ev.Refused || e.Leaving {
+		return
 	}
+	e.ejectedUntil = s.now.Add(unreachableDuration)
+	s.reportCrash(e)
 }
 
 // lastLostAt returns the time at which the last attempt was lost that a crash may have ended; zero if
@@ -204,16 +246,24 @@
 	return list
 }
 
-// judges returns the endpoints whose agents judge the prompt parts of a service, the same at all
-// routers. The choice depends on addresses, as an endpoint that restarts has another instance
-// name.
+// judges returns the endpoints whose agents judge the requests of a service, the same at all
+// routers: those of the service, or of any if the service has no agents. The choice depends on
+// addresses, as an endpoint that restarts has another instance name.
 func (s *State) judges(service string) []*endpoint {
+	if list := lowestHashes(s.index.endpointsByService[service]); len(list) > 0 {
+		return list
+	}
+	return lowestHashes(s.endpoints)
+}
+
+// lowestHashes returns the endpoints with agents whose addresses hash lowest, at most judgeCount.
+func lowestHashes(endpoints []*endpoint) []*endpoint {
 	type ranked struct {
 		hash uint64
 		e    *endpoint
 	}
 	var best []ranked
-	for _, e := range s.index.endpointsByService[service] {
+	for _, e := range endpoints {
 		if !e.HasModels || e.Leaving {
 			continue
 		}
@@ -247,29 +297,19 @@
 // informJudges reports the recent crashes to the judges that have not been told all of them. Which
 // agents judge changes when their endpoints crash.
 func (s *State) informJudges() {
-	if len(s.recentCrashes()) == 0 {
-		return
-	}
-	for _, service := range slices.Sorted(maps.Keys(s.index.rings)) {
-		for _, judge := range s.judges(service) {
+	crashes := make(map[string][]poison.Crash)
+	judges := make(map[string]*endpoint)
+	for _, c := range s.recentCrashes() {
+		for _, judge := range s.judges(c.service) {
 			if judge.hasAgent && judge.toldCrashCount < s.poison.crashCount {
-				s.informJudge(judge)
+				judges[judge.Instance] = judge
+				crashes[judge.Instance] = append(crashes[judge.Instance], c.crash)
 			}
 		}
 	}
-}
-
-// informJudge reports the recent crashes to an agent.
-func (s *State) informJudge(judge *endpoint) {
-	judge.toldCrashCount = s.poison.crashCount
-	var list []poison.Crash
-	for _, c := range s.recentCrashes() {
-		if c.service == judge.Service {
-			list = append(list, c.crash)
-		}
-	}
-	if len(list) > 0 {
-		s.emit(ReportCrashes{Judge: judge.Instance, Crashes: list})
+	for _, id := range slices.Sorted(maps.Keys(judges)) {
+		judges[id].toldCrashCount = s.poison.crashCount
+		s.emit(ReportCrashes{Judge: id, Crashes: crashes[id]})
 	}
 }
 
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -156,6 +156,8 @@
 		s.handleInstanceChanged(ev)
 	case AgentLost:
 		s.handleAgentLost(ev)
+	case PortChecked:
+		s.handlePortChecked(ev)
 	case PartAcquitted:
 		s.handlePartAcquitted(ev)
 	case RoutesAdopted:
--- a/io/relayd/poison.go
+++ b/io/relayd/poison.go
@@ -1,8 +1,13 @@
 package relayd
 
 import (
+	"context"
+	"errors"
 	"maps"
+	"net"
+	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/samber/lo"
@@ -26,6 +31,8 @@
 	case relay.ReportVerdicts:
 		body := wire.EncodeVerdicts(time.Now(), eff.Verdicts)
 		go x.d.agents.tell(eff.Agent, "verdicts", &wirepb.Frame{Body: &wirepb.Frame_PartVerdicts{PartVerdicts: body}})
+	case relay.CheckPort:
+		go x.d.checkPort(x.ctx, eff)
 	case relay.EndpointCrashed:
 		x.d.logCrash(eff)
 	case relay.VerdictChanged:
@@ -90,7 +97,44 @@
 		Int64("age-ms", time.Since(v.DecidedAt).Milliseconds()).Str("told-by", eff.Source).Msg("verdict on prompt part changed")
 }
 
-// logPartRefused logs that a request is refused for a convicted part of its prompt.
+const (
+	// portCheckTimeout bounds an attempt to connect to an endpoint that may have crashed.
+	portCheckTimeout = 500 * time.Millisecond
+	// portCheckDelays are the times before these attempts. The port of a process that is ending
+	// may accept connections for a moment.
+	firstPortCheckDelay, secondPortCheckDelay = 5 * time.Millisecond, 100 * time.Millisecond
+)
+
+// checkPort reports to the reducer whether the host of an endpoint refuses connections.
+func (d *Daemon) checkPort(ctx context.Context, eff relay.CheckPort) {
+	refused := false
+	for _, delay := range []time.Duration{firstPortCheckDelay, secondPortCheckDelay} {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+		if refused = refusesConnections(ctx, eff.Address); refused {
+			break
+		}
+	}
+	d.loop.Post(relay.PortChecked{Instance: eff.Instance, Refused: refused})
+}
+
+// refusesConnections reports whether a connection to the address is refused. Other failures don't
+// tell that nothing listens there.
+func refusesConnections(ctx context.Context, addr netip.AddrPort) bool {
+	dialer := net.Dialer{Timeout: portCheckTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// The connection has served its purpose.
+	_ = conn.Close()
+	return false
+}
+
+// logPartRefused logs that a request is refused for a conviction of it or of a part of its prompt.
 func (d *Daemon) logPartRefused(eff relay.PartRefused) {
 	d.mu.Lock()
 	x := d.exchanges[eff.ID]
@@ -99,6 +143,6 @@
 		return
 	}
 	d.log.Info().Str("request", x.request.AttemptID).Str("route", x.route.Name).Str("part-id", eff.PartID).
-		Stringer("part", eff.Verdict.Part).Int("crashes", eff.Verdict.CrashCount).
+		Stringer("part", eff.Verdict.Part).Bool("whole", eff.Verdict.Part == x.request.Whole).Int("crashes", eff.Verdict.CrashCount).
 		Int64("verdict-age-ms", time.Since(eff.Verdict.DecidedAt).Milliseconds()).Msg("prompt part refused")
 }
--- a/io/wire/poison.go
+++ b/io/wire/poison.go
@@ -16,7 +16,7 @@
 			Instance: c.Instance, CrashedAgoUs: now.Sub(c.At).Microseconds(),
 			Suspects: lo.Map(c.Suspects, func(s poison.Suspect, _ int) *wirepb.CrashSuspect {
 				return &wirepb.CrashSuspect{
-					Part: uint64(s.Part), SentAgoUs: now.Sub(s.SentAt).Microseconds(), Depth: uint32(s.Depth), Answering: s.Answering,
+					Part: uint64(s.Part), SentAgoUs: now.Sub(s.SentAt).Microseconds(), Depth: uint32(s.Depth), Answering: s.Answering, Whole: s.Whole,
 				}
 			}),
 		}
@@ -30,7 +30,7 @@
 			Instance: c.GetInstance(), At: now.Add(-micros(c.GetCrashedAgoUs())),
 			Suspects: lo.Map(c.GetSuspects(), func(s *wirepb.CrashSuspect, _ int) poison.Suspect {
 				return poison.Suspect{
-					Part: poison.Part(s.GetPart()), SentAt: now.Add(-micros(s.GetSentAgoUs())), Depth: int(s.GetDepth()), Answering: s.GetAnswering(),
+					Part: poison.Part(s.GetPart()), SentAt: now.Add(-micros(s.GetSentAgoUs())), Depth: int(s.GetDepth()), Answering: s.GetAnswering(), Whole: s.GetWhole(),
 				}
 			}),
 		}
