--- a/io/wire/cork.go
+++ b/io/wire/cork.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // maxCorkedBytes is the number of pending bytes from which on Write blocks.
@@ -25,6 +27,8 @@
 	ready     chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+	// readAt is the time of the last read that returned data.
+	readAt atomic.Pointer[time.Time]
 }
 
 // newCork returns a cork for conn and starts its writer, which runs until the connection fails
@@ -36,6 +40,24 @@
 	return c
 }
 
+// Read implements net.Conn.
+func (c *cork) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		now := time.Now()
+		c.readAt.Store(&now)
+	}
+	return n, err
+}
+
+// lastReadAt returns the time of the last read that returned data; zero if there was none.
+func (c *cork) lastReadAt() time.Time {
+	if at := c.readAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Write implements net.Conn. It queues p and blocks only while maxCorkedBytes or more are
 // pending. Its error may be that of an earlier write.
 func (c *cork) Write(p []byte) (int, error) {
--- a/io/wire/ping.go
+++ b/io/wire/ping.go
@@ -61,15 +61,17 @@
 		_, err := c.session.Ping()
 		result <- err
 	}()
-	return awaitPong(result, time.Now)
+	return awaitPong(result, time.Now, c.lastReadAt)
 }
 
 // awaitPong waits for the result of a ping and reports whether it is nil and arrives within
 // pingTimeout. If the timeout is noticed late, this process was stalled and may not have read
-// the response yet, so it waits again, up to maxPingWaits times in total.
-func awaitPong(result <-chan error, now func() time.Time) bool {
-	for range maxPingWaits {
-		deadline := now().Add(pingTimeout)
+// the response yet, so it waits again, up to maxPingWaits times in total. It also waits on while data
+// arrives: the response then stands behind a large frame on a slow link.
+func awaitPong(result <-chan error, now, lastReadAt func() time.Time) bool {
+	for waits := 0; waits < maxPingWaits; {
+		startedAt := now()
+		deadline := startedAt.Add(pingTimeout)
 		timer := time.NewTimer(pingTimeout)
 		select {
 		case err := <-result:
@@ -82,9 +84,13 @@
 			return err == nil
 		default:
 		}
+		if lastReadAt().After(startedAt) {
+			continue
+		}
 		if now().Before(deadline.Add(maxTimerDelay)) {
 			return false
 		}
+		waits++
 	}
 	return false
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -81,6 +81,8 @@
 	session   *yamux.Session
 	// activeStreams is the number of open streams that are not in the background.
 	activeStreams atomic.Int64
+	// lastReadAt returns the time at which data last arrived; zero if that is not known.
+	lastReadAt func() time.Time
 	// streamOpened notifies pingLoop that a stream was opened.
 	streamOpened chan struct{}
 	// remoteHello is the other process's hello; nil on accepted connections until it is
@@ -116,7 +118,10 @@
 
 // newConn returns the connection for a yamux session. It starts no goroutines.
 func newConn(t *Transport, session *yamux.Session) *Conn {
-	return &Conn{transport: t, session: session, streamOpened: make(chan struct{}, 1)}
+	return &Conn{
+		transport: t, session: session, streamOpened: make(chan struct{}, 1),
+		lastReadAt: func() time.Time { return time.Time{} },
+	}
 }
 
 // sessionConfig returns the yamux configuration for both ends of a connection.
@@ -138,11 +143,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w: %w", addr, ErrUnreachable, err)
 	}
-	session, err := yamux.Client(newCork(raw), sessionConfig())
+	corked := newCork(raw)
+	session, err := yamux.Client(corked, sessionConfig())
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("start session with %s: %w", addr, err), raw.Close())
 	}
 	c := newConn(t, session)
+	c.lastReadAt = corked.lastReadAt
 	if err := c.exchangeHellos(ctx); err != nil {
 		return nil, errors.Join(fmt.Errorf("exchange hellos with %s: %w: %w", addr, ErrUnreachable, err), session.Close())
 	}
