io/feed, io/mirror: ask agents before a large document is read for another revision

Agents that routers ask now watch for a second at a time and tell up to which revision their routes are the newest; a document of over 64 KiB is read only if none does so within 1.5 s. TestLargeDocumentIsNotReadForOtherRevisions fails without the change.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -20,9 +20,16 @@
 )
 
 const (
-	// agentLead is how long agents may take to send a new version before the store is read. It covers
-	// the pause between two watches of an agent.
+	// agentLead is how long agents may take to send a new version before they are asked for it, and a
+	// small document is read from the store. It covers the pause between two watches of an agent.
 	agentLead = 300 * time.Millisecond
+	// askInterval is the interval at which agents are asked, and largeLead how long before a large
+	// document is read. Agents that watch the store can tell within that time that there is nothing new.
+	askInterval = 300 * time.Millisecond
+	largeLead   = 1500 * time.Millisecond
+	// largeDocument is the size in bytes from which a document is large: reading it takes 50 ms of a
+	// link of 10 Mbit/s.
+	largeDocument = 64 << 10
 	// minReadInterval and maxReadInterval bound the interval between two reads of the store that
 	// found nothing new. It doubles up to the maximum, so that a store whose revision rises for
 	// other reasons causes little load.
@@ -44,6 +51,9 @@
 	Adopt func(t *route.Table, source string, readAt time.Time)
 	// AgentsConnected reports whether an agent may send routes.
 	AgentsConnected func() bool
+	// AskAgents asks agents for a newer version, or up to which revision there is none. It does not
+	// block.
+	AskAgents func()
 	// ReadStore starts a read of the document from the store. StoreRead is called when it has
 	// succeeded, after Offer if the document has changed.
 	ReadStore func()
@@ -67,6 +77,8 @@
 	unseenRevision int64
 	unseenAt       time.Time
 	wantedVersion  int64
+	// askedAt is the time at which agents were last asked.
+	askedAt time.Time
 	// reading reports whether a read of the store is in progress, readVersion the version before it.
 	// readForUnseen reports whether the read is for an unseen revision.
 	reading, readForUnseen bool
@@ -201,27 +213,46 @@
 	}
 }
 
-// readIfDue starts a read of the store if a newer version is wanted or may be there.
+// readIfDue asks the agents or reads the store if a newer version is wanted or may be there.
 func (f *Feed) readIfDue(now time.Time) {
+	ask, read := f.due(now)
+	if ask {
+		f.opts.AskAgents()
+	}
+	if read {
+		f.opts.ReadStore()
+	}
+}
+
+// due reports whether the agents must be asked and the store must be read.
+func (f *Feed) due(now time.Time) (ask, read bool) {
+	agents := f.opts.AgentsConnected()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reading || now.Before(f.nextReadAt) {
-		return
+	if f.reading {
+		return false, false
 	}
-	unseen := f.unseenRevision > f.knownRevision && !now.Before(f.unseenAt.Add(f.lead()))
-	if !unseen && f.wantedVersion <= f.version {
-		return
+	unseen := f.unseenRevision > f.knownRevision
+	if unseen && agents {
+		ask = !now.Before(f.unseenAt.Add(agentLead)) && !now.Before(f.askedAt.Add(askInterval))
+		unseen = !now.Before(f.unseenAt.Add(f.lead()))
+	}
+	if ask {
+		f.askedAt = now
+	}
+	if now.Before(f.nextReadAt) || !unseen && f.wantedVersion <= f.version {
+		return ask, false
 	}
 	f.opts.Log.Info().Int64("version", f.version).Int64("wanted", f.wantedVersion).Int64("revision", f.knownRevision).
 		Int64("unseen", f.unseenRevision).Msg("reading routes from the store")
 	f.reading, f.readForUnseen, f.readVersion = true, unseen, f.version
-	f.opts.ReadStore()
+	return ask, true
 }
 
-// lead returns how long agents may take to send a new version.
+// lead returns how long agents may take to send a new version before the store is read.
 func (f *Feed) lead() time.Duration {
-	if f.opts.AgentsConnected() {
-		return agentLead
+	if len(f.document) > largeDocument {
+		return largeLead
 	}
-	return 0
+	return agentLead
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -44,6 +44,10 @@
 	adopted []string
 	reads   []time.Time
 	skipped int
+	// asked is the number of times that agents were asked. confirming reports whether they answer that
+	// nothing is new.
+	asked      int
+	confirming bool
 }
 
 // newRouter returns a router that has read version 1 at revision 1.
@@ -54,6 +58,12 @@
 		Adopt: func(table *route.Table, source string, _ time.Time) {
 			r.adopted = append(r.adopted, fmt.Sprint(source, " ", table.Version))
 		},
+		AskAgents: func() {
+			r.asked++
+			if r.confirming {
+				go r.feed.Confirm(r.feed.Version(), r.revision)
+			}
+		},
 		ReadStore: func() {
 			r.reads = append(r.reads, time.Now())
 			go r.read()
@@ -182,6 +192,29 @@
 	})
 }
 
+// A revision that is not one of the routes, as of an agent that starts, must not cost a read of a large
+// document if agents know that nothing is new, and no more than 1.5 s if they don't.
+func TestLargeDocumentIsNotReadForOtherRevisions(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirming bool
+		reads      int
+	}{"agents confirm": {true, 0}, "agents are silent": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRouter(t)
+				r.document = "2}" + strings.Repeat("x", 100_000)
+				require.NoError(t, r.feed.Offer([]byte(r.document), "agent", 1, time.Now()))
+				r.confirming = c.confirming
+				r.revision++
+				r.feed.Unseen(r.revision)
+				time.Sleep(1600 * time.Millisecond)
+				assert.Len(t, r.reads, c.reads)
+				assert.Positive(t, r.asked)
+			})
+		})
+	}
+}
+
 func TestDeltasNeedADocument(t *testing.T) {
 	f := feed.New(feed.Options{Decode: decode})
 	err := f.OfferDeltas([]delta.Delta{delta.Diff(1, 2, []byte("1}"), []byte("2}"))}, "agent", 2, time.Now())
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -109,6 +109,7 @@
 		Adopt: func(t *route.Table, source string, readAt time.Time) {
 			r.daemon.AdoptRoutes(t, relayd.Origin{Source: source, ReadAt: readAt})
 		},
+		AskAgents: func() { r.daemon.AskForRoutes() },
 		ReadStore: func() { r.routes.Refresh() },
 		OnSkipped: func() { r.endpoints.Refresh() },
 	})
@@ -126,7 +127,7 @@
 	})
 	r.routes = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.RoutesPrefix, Log: log.Logger, Watching: func() bool { return false },
-		OnChange: r.onRoutes, OnFullRead: r.routesFeed.StoreRead,
+		OnChange: r.onRoutes, OnCurrent: r.routesFeed.StoreRead,
 	})
 	errorLog := logs.ErrorLog(log.Logger)
 	r.callerServer = drain.New(&http.Server{
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -36,10 +36,9 @@
 	maxRoutesLagJitter = 3 * time.Second
 	// askedDuration is how long after a router has asked for routes the agent watches for new ones.
 	askedDuration = 15 * time.Second
-	// watchWait is how long a watch waits for a change. As a watch may hang, it bounds how
-	// late an agent sees a change of its engine's capacity. It may be long because no
-	// answer to a caller waits for such a change.
-	watchWait = 10 * time.Second
+	// watchWait is how long a watch waits for a change. Its end tells routers up to which revision
+	// of the store the agent's routes are the newest.
+	watchWait = time.Second
 )
 
 // SwapPlatform is the interface of a Swap to the users' platform. All fields but Prefix are
@@ -96,6 +95,7 @@
 	s.mirror = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.Prefix, WatchPause: watchPause, WatchWait: watchWait, Log: log.Logger,
 		OnChange: s.onStoreChange, Watching: s.watchesRoutes,
+		OnCurrent: func(revision int64) { s.daemon.ConfirmRoutes(revision) },
 	})
 	s.daemon = swapd.New(swapd.Options{
 		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder, Metrics: s.registry,
--- a/io/relayd/sources.go
+++ b/io/relayd/sources.go
@@ -91,6 +91,14 @@
 // AgentsConnected reports whether an agent is connected.
 func (d *Daemon) AgentsConnected() bool { return d.agents.connected() }
 
+// AskForRoutes asks the sources for newer routes, or up to which revision of the store they have the
+// newest. It does not block.
+func (d *Daemon) AskForRoutes() {
+	for _, src := range d.agents.sources() {
+		go d.agents.askSource(src)
+	}
+}
+
 // askSource asks a source for newer routes, so that it goes on watching for them.
 func (a *agentConns) askSource(src source) {
 	if a.d.opts.Routes.Version() == 0 {
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -137,6 +137,13 @@
 	d.loop.Post(swap.EngineConfigured{Engine: engine})
 }
 
+// ConfirmRoutes notes that the routes were the newest at a revision of the store.
+func (d *Daemon) ConfirmRoutes(revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routesRevision = max(d.routesRevision, revision)
+}
+
 // RoutesVersion returns the version of the agent's routes; 0 if it has none.
 func (d *Daemon) RoutesVersion() int64 {
 	d.mu.Lock()
