io/relayd: tell requests with other prompts apart

Requests with the same body and other prompts counted as one, so that a deadly prompt part made the verdict fall on all of them (TestNewRouterRefusesPromptPartThatCrashedEndpoints failed on with it: the routers refused the request, not the part). Model, adapter and parts count now.

--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -172,12 +172,22 @@
 			AttemptID: info.AttemptID, Route: rt, Service: service, Item: info.Item,
 			TokensIn: info.TokensIn, TokensOut: info.TokensOut, Prefix: info.Prefix,
 			Deadline: deadline, LastEvent: info.LastEventID,
-			Whole: poison.RequestPart(service, info.Caller, r.Method, r.Host, r.RequestURI, body),
+			Whole: wholeRequest(service, info, r, body),
 		},
 	}
 	return x, nil
 }
 
+// wholeRequest returns the part that stands for the request. The headers that tell the prompt count,
+// as the body need not.
+func wholeRequest(service string, info RequestInfo, r *http.Request, body []byte) poison.Part {
+	fields := []string{info.Caller, r.Method, r.Host, r.RequestURI, info.Item.Model, info.Item.Adapter}
+	for _, p := range info.Prefix {
+		fields = append(fields, p.ID)
+	}
+	return poison.RequestPart(service, fields, body)
+}
+
 // readBody reads the complete body and adds its size to d.bodyBytes. The caller must subtract
 // it when the request has ended.
 func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request, table *route.Table) ([]byte, error) {
