core/relay: report crashes to judges that the router is connected to

BUDGET: a router that is cut off from all three judges told nobody of its crashes. It now tells the next agents by the same hash.

--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -12,7 +12,8 @@
 	same := func() poison.Part {
 		return poison.RequestPart("s", []string{"c", "POST", "h", "/p?q=1"}, []byte("body"))
 	}
-	assert.Equal(t, same(), same())
+	first, second := same(), same()
+	assert.Equal(t, first, second)
 	seen := map[poison.Part]string{same(): "same"}
 	for name, other := range map[string]poison.Part{
 		"service":             poison.RequestPart("s2", []string{"c", "POST", "h", "/p?q=1"}, []byte("body")),
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -250,21 +250,31 @@
 // routers: those of the service, or of any if the service has no agents. The choice depends on
 // addresses, as an endpoint that restarts has another instance name.
 func (s *State) judges(service string) []*endpoint {
-	if list := lowestHashes(s.index.endpointsByService[service]); len(list) > 0 {
-		return list
-	}
-	return lowestHashes(s.endpoints)
+	return s.lowestHashes(service, func(*endpoint) bool { return true })
+}
+
+// connectedJudges returns the endpoints to whose agents the router reports crashes: the judges, or the
+// next ones in place of those that it is not connected to. A router that is cut off from the judges
+// then shares evidence with the others that are.
+func (s *State) connectedJudges(service string) []*endpoint {
+	return s.lowestHashes(service, func(e *endpoint) bool { return e.hasAgent })
 }
 
-// lowestHashes returns the endpoints with agents whose addresses hash lowest, at most judgeCount.
-func lowestHashes(endpoints []*endpoint) []*endpoint {
+// lowestHashes returns the endpoints whose agents may judge the requests of a service, which eligible
+// accepts and whose addresses hash lowest, at most judgeCount.
+func (s *State) lowestHashes(service string, eligible func(e *endpoint) bool) []*endpoint {
+	mayJudge := func(e *endpoint) bool { return e.HasModels && !e.Leaving }
+	endpoints := s.index.endpointsByService[service]
+	if !slices.ContainsFunc(endpoints, mayJudge) {
+		endpoints = s.endpoints
+	}
 	type ranked struct {
 		hash uint64
 		e    *endpoint
 	}
 	var best []ranked
 	for _, e := range endpoints {
-		if !e.HasModels || e.Leaving {
+		if !mayJudge(e) || !eligible(e) {
 			continue
 		}
 		r := ranked{xxhash.Sum64String(e.Address.String()), e}
@@ -300,8 +310,8 @@
 	crashes := make(map[string][]poison.Crash)
 	judges := make(map[string]*endpoint)
 	for _, c := range s.recentCrashes() {
-		for _, judge := range s.judges(c.service) {
-			if judge.hasAgent && judge.toldCrashCount < s.poison.crashCount {
+		for _, judge := range s.connectedJudges(c.service) {
+			if judge.toldCrashCount < s.poison.crashCount {
 				judges[judge.Instance] = judge
 				crashes[judge.Instance] = append(crashes[judge.Instance], c.crash)
 			}
--- a/core/relay/poisonfleet_test.go
+++ b/core/relay/poisonfleet_test.go
@@ -16,6 +16,7 @@
 
 	"chervilreach/core/event"
 	"chervilreach/core/poison"
+	"chervilreach/core/route"
 	"chervilreach/core/stock"
 	"chervilreach/core/swap"
 )
@@ -72,11 +73,13 @@
 type poisonHost struct {
 	index, incarnation int
 	up                 bool
-	agent              *swap.State
-	agentDownUntil     time.Time
-	wakeAt             time.Time
-	attempts           []*poisonAttempt
-	lastReport         stock.Report
+	// plain reports whether the host runs an endpoint of the plain service, without an agent.
+	plain          bool
+	agent          *swap.State
+	agentDownUntil time.Time
+	wakeAt         time.Time
+	attempts       []*poisonAttempt
+	lastReport     stock.Report
 }
 
 type poisonAttempt struct {
@@ -88,6 +91,10 @@
 }
 
 type poisonRequest struct {
+	// path is the path of a request of the plain service, of a route of the given kind; empty for
+	// others.
+	path  string
+	kind  route.Kind
 	parts []string
 	// deadly is the deadly part; empty if there is none.
 	deadly    string
@@ -136,8 +143,15 @@
 }
 
 func (f *poisonFleet) entryOf(h *poisonHost) EndpointEntry {
-	e := testEntry(h.instance(), llm)
+	service := llm
+	if h.plain {
+		service = plain
+	}
+	e := testEntry(h.instance(), service)
 	e.Address, e.Born = hostAddress(h.index), int64(h.incarnation+1)
+	if h.plain {
+		return e
+	}
 	e.Stock = stock.Report{Instance: h.instance(), KVTotal: 130_000, Models: []stock.LoadedModel{{Model: "a"}}}
 	return e
 }
@@ -195,6 +209,8 @@
 			}
 		case Send:
 			f.send(r, eff)
+		case CheckPort:
+			f.checkPort(r, eff)
 		case AbortAttempt:
 			f.abort(r, eff)
 		case FollowAgents:
@@ -221,6 +237,21 @@
 	}
 }
 
+// checkPort tells a router whether an endpoint's host refuses connections.
+func (f *poisonFleet) checkPort(r *poisonRouter, eff CheckPort) {
+	h := f.hostOf(eff.Address)
+	f.after(0, func() {
+		refused := !h.up
+		f.toRouter(r, h.index, func() { f.apply(r, PortChecked{Instance: eff.Instance, Refused: refused}) })
+	})
+}
+
+// hostOf returns the host with the address.
+func (f *poisonFleet) hostOf(addr netip.AddrPort) *poisonHost {
+	ip := addr.Addr().As4()
+	return f.hosts[int(ip[2])*250+int(ip[3])-1]
+}
+
 // laterCrash returns the crash as its receiver knows it, as times are sent as ages.
 func laterCrash(c poison.Crash, delay time.Duration) poison.Crash {
 	c.At = c.At.Add(delay)
@@ -263,6 +294,9 @@
 	for _, e := range list {
 		ip := e.Address.Addr().As4()
 		host := int(ip[2])*250 + int(ip[3]) - 1
+		if f.hosts[host].plain {
+			continue
+		}
 		follows[host] = e.Instance
 		if r.follows[host] != e.Instance && f.hosts[host].lastReport.Instance != "" {
 			f.report(f.hosts[host], r)
@@ -345,8 +379,7 @@
 // send delivers a request to its endpoint.
 func (f *poisonFleet) send(r *poisonRouter, eff Send) {
 	req := r.requests[eff.ID]
-	ip := eff.Address.Addr().As4()
-	h := f.hosts[int(ip[2])*250+int(ip[3])-1]
+	h := f.hostOf(eff.Address)
 	f.after(0, func() {
 		if f.routers[r.index] != r {
 			return
@@ -424,7 +457,7 @@
 	}
 	h.up = false
 	for _, a := range h.attempts {
-		ended := AttemptEnded{ID: a.id, Result: Broken, LastEvent: NoEvent, Cut: true, HeadReceived: a.begun && f.rnd.IntN(10) > 0}
+		ended := AttemptEnded{ID: a.id, Result: Broken, LastEvent: NoEvent, Cut: true, HeadReceived: a.begun && !h.plain && f.rnd.IntN(10) > 0}
 		if ended.HeadReceived && a.request.deadly == "" {
 			ended.Answering, ended.LastEvent = true, 0
 		}
@@ -449,7 +482,7 @@
 	if req == nil {
 		return
 	}
-	req.refused = reason == PromptCrashes
+	req.refused = reason == PromptCrashes || reason == RequestCrashes
 	if req.retried || req.refused {
 		return
 	}
@@ -466,6 +499,14 @@
 	}
 	r.lastID++
 	r.requests[r.lastID] = req
+	if req.path != "" {
+		rt := plainRoute(req.kind)
+		f.apply(r, RequestArrived{ID: r.lastID, Request: Request{
+			AttemptID: "x", Route: rt, Service: plain, Deadline: f.now.Add(rt.Timeout), LastEvent: NoEvent,
+			Whole: poison.RequestPart(plain, []string{req.path}, nil),
+		}})
+		return
+	}
 	rt := streamRoute()
 	f.apply(r, RequestArrived{ID: r.lastID, Request: Request{
 		AttemptID: "x", Route: rt, Service: llm, Item: modelA, TokensIn: 300, TokensOut: 100,
@@ -518,7 +559,7 @@
 	for end := f.now.Add(d); f.now.Before(end); {
 		f.step()
 		for _, h := range f.hosts {
-			if !f.now.Before(h.wakeAt) && !f.now.Before(h.agentDownUntil) {
+			if !h.plain && !f.now.Before(h.wakeAt) && !f.now.Before(h.agentDownUntil) {
 				h.wakeAt = f.now.Add(tickPeriod)
 				f.applyAgent(h, event.Tick{})
 			}
@@ -560,8 +601,7 @@
 // judgeHosts returns the hosts whose agents judge.
 func (f *poisonFleet) judgeHosts() []*poisonHost {
 	return lo.Map(f.routers[0].state.judges(llm), func(e *endpoint, _ int) *poisonHost {
-		ip := e.Address.Addr().As4()
-		return f.hosts[int(ip[2])*250+int(ip[3])-1]
+		return f.hostOf(e.Address)
 	})
 }
 
