io/feed, io/swapd: vouch for routes by full reads only

Since routers ask agents about a revision that their own watch did not bring, three agents whose watches had skipped it too told that nothing was new: the routes stayed as they were for good, and so did an endpoint that had begun to leave, as it was no longer read again. Routers now name the revision, an agent that has not read the store since does so, and a revision that no version explains makes the router read the endpoints again, less often the more of them come.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -35,6 +35,9 @@
 	// other reasons causes little load.
 	minReadInterval = 300 * time.Millisecond
 	maxReadInterval = 8 * time.Second
+	// adoptedBefore is how long before a revision is known to be unseen a version of it may have come
+	// from an agent: a watch of the endpoints and its pause.
+	adoptedBefore = 2 * time.Second
 	// checkInterval is how often Run checks whether the store must be read.
 	checkInterval = 50 * time.Millisecond
 )
@@ -58,7 +61,7 @@
 	// succeeded, after Offer if the document has changed.
 	ReadStore func()
 	// OnSkipped is called if the store's revision has risen for another reason than a new version of
-	// the routes. The watch of the endpoints may have skipped a change.
+	// the routes. The watch of the endpoints may have skipped a change. It must not block.
 	OnSkipped func()
 	Log       zerolog.Logger
 }
@@ -77,16 +80,22 @@
 	unseenRevision int64
 	unseenAt       time.Time
 	wantedVersion  int64
+	// adoptedAt is the time of the last adoption.
+	adoptedAt time.Time
 	// askedAt is the time at which agents were last asked.
 	askedAt time.Time
 	// reading reports whether a read of the store is in progress, readVersion the version before it.
-	// readForUnseen reports whether the read is for an unseen revision.
-	reading, readForUnseen bool
-	readVersion            int64
+	reading     bool
+	readVersion int64
 	// nextReadAt is the earliest time of the next read, readInterval the last interval between two
 	// reads that found nothing new.
 	nextReadAt   time.Time
 	readInterval time.Duration
+	// skipDue reports whether OnSkipped must be called, nextSkipAt the earliest time of that. The
+	// interval between two calls doubles as readInterval does.
+	skipDue      bool
+	nextSkipAt   time.Time
+	skipInterval time.Duration
 }
 
 // New returns a feed without a document. The first read of the store must have been started.
@@ -115,11 +124,12 @@
 	if table.Version < f.version {
 		return nil
 	}
-	f.knownRevision = max(f.knownRevision, revision)
 	if table.Version == f.version {
+		f.settle(revision)
 		return nil
 	}
-	f.document, f.version = document, table.Version
+	f.document, f.version, f.adoptedAt = document, table.Version, time.Now()
+	f.settle(revision)
 	f.opts.Adopt(table, source, readAt)
 	return nil
 }
@@ -154,8 +164,30 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version == f.version {
-		f.knownRevision = max(f.knownRevision, revision)
+		f.settle(revision)
+	}
+}
+
+// settle notes that the document is the newest at a revision of the store. If that is why there is no
+// unseen revision any more, and no version has been adopted around the time at which it became known,
+// it was one of something else.
+func (f *Feed) settle(revision int64) {
+	wasUnseen := f.unseenRevision > f.knownRevision
+	f.knownRevision = max(f.knownRevision, revision)
+	if wasUnseen && f.unseenRevision <= f.knownRevision && f.adoptedAt.Before(f.unseenAt.Add(-adoptedBefore)) {
+		f.skipDue = true
+	}
+}
+
+// UnseenRevision returns a revision of the store at which there may be a newer version; 0 if there is
+// none.
+func (f *Feed) UnseenRevision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unseenRevision <= f.knownRevision {
+		return 0
 	}
+	return f.unseenRevision
 }
 
 // Unseen notes a revision of the store at which there may be a newer version.
@@ -184,19 +216,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reading = false
-	f.knownRevision = max(f.knownRevision, revision)
+	f.settle(revision)
 	if f.version > f.readVersion {
 		f.readInterval, f.nextReadAt = 0, time.Time{}
 		return
 	}
-	if time.Since(f.nextReadAt) > maxReadInterval {
-		f.readInterval = 0
-	}
-	f.readInterval = min(max(2*f.readInterval, minReadInterval), maxReadInterval)
-	f.nextReadAt = time.Now().Add(f.readInterval)
-	if f.readForUnseen {
-		f.opts.OnSkipped()
+	f.nextReadAt, f.readInterval = backOff(time.Now(), f.nextReadAt, f.readInterval)
+}
+
+// backOff returns the time until which something that has been done in vain is not done again, and the
+// interval, which is twice the last one unless that is over for long.
+func backOff(now, lastUntil time.Time, interval time.Duration) (time.Time, time.Duration) {
+	if now.Sub(lastUntil) > maxReadInterval {
+		interval = 0
 	}
+	interval = min(max(2*interval, minReadInterval), maxReadInterval)
+	return now.Add(interval), interval
 }
 
 // Run reads the store when it must be read, until ctx ends.
@@ -219,6 +254,9 @@
 	if ask {
 		f.opts.AskAgents()
 	}
+	if f.takeSkip(now) {
+		f.opts.OnSkipped()
+	}
 	if read {
 		f.opts.ReadStore()
 	}
@@ -245,10 +283,22 @@
 	}
 	f.opts.Log.Info().Int64("version", f.version).Int64("wanted", f.wantedVersion).Int64("revision", f.knownRevision).
 		Int64("unseen", f.unseenRevision).Msg("reading routes from the store")
-	f.reading, f.readForUnseen, f.readVersion = true, unseen, f.version
+	f.reading, f.readVersion = true, f.version
 	return ask, true
 }
 
+// takeSkip reports whether OnSkipped must be called now, and notes that it is.
+func (f *Feed) takeSkip(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.skipDue || now.Before(f.nextSkipAt) {
+		return false
+	}
+	f.skipDue = false
+	f.nextSkipAt, f.skipInterval = backOff(now, f.nextSkipAt, f.skipInterval)
+	return true
+}
+
 // lead returns how long agents may take to send a new version before the store is read.
 func (f *Feed) lead() time.Duration {
 	if len(f.document) > largeDocument {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -109,9 +109,10 @@
 	// Watching reports whether the mirror watches for changes. While it does not, it reads all
 	// keys once, and again after each Refresh. Nil means that it always watches.
 	Watching func() bool
-	// OnCurrent is called from Run after each full read and each watch, after OnChange, with a
-	// revision of the store at which the entries were current. It may be nil.
-	OnCurrent func(revision int64)
+	// OnFullRead is called from Run after each full read, after OnChange, with a revision of the
+	// store at which the entries were current. A watch gives no such revision, as it may skip a
+	// change. It may be nil.
+	OnFullRead func(revision int64)
 	// OnUnseen is called from Run with the latest revision of the store that neither a watch nor
 	// a full read has delivered: it changed a key outside the prefix, a watch has skipped it, or
 	// a full read found a later one of the same key. It may be nil.
@@ -127,7 +128,7 @@
 	Partial bool
 	// ReadAt is the time at which the store's last answer arrived.
 	ReadAt time.Time
-	// Revision is a revision of the store at which the entries were current; 0 if Partial.
+	// Revision is the revision of the store up to which changes have been read; 0 if Partial.
 	Revision int64
 }
 
@@ -287,18 +288,10 @@
 	m.detectSkippedChange(items, cursor)
 	m.cursor = max(cursor, m.cursor)
 	m.apply(items)
-	m.reportCurrent()
 	m.reportUnseen(items)
 	return nil
 }
 
-// reportCurrent calls OnCurrent.
-func (m *Mirror) reportCurrent() {
-	if m.opts.OnCurrent != nil {
-		m.opts.OnCurrent(m.cursor)
-	}
-}
-
 // reportUnseen calls OnUnseen if none of the items has one of the revisions since the last call, up
 // to the cursor.
 func (m *Mirror) reportUnseen(items []Item) {
@@ -415,7 +408,9 @@
 		m.notify()
 	}
 	m.scheduleReread()
-	m.reportCurrent()
+	if m.opts.OnFullRead != nil {
+		m.opts.OnFullRead(cursor)
+	}
 	m.reportUnseen(items)
 	return nil
 }
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -127,7 +127,7 @@
 	})
 	r.routes = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.RoutesPrefix, Log: log.Logger, Watching: func() bool { return false },
-		OnChange: r.onRoutes, OnCurrent: r.routesFeed.StoreRead,
+		OnChange: r.onRoutes, OnFullRead: r.routesFeed.StoreRead,
 	})
 	errorLog := logs.ErrorLog(log.Logger)
 	r.callerServer = drain.New(&http.Server{
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -36,9 +36,12 @@
 	maxRoutesLagJitter = 3 * time.Second
 	// askedDuration is how long after a router has asked for routes the agent watches for new ones.
 	askedDuration = 15 * time.Second
-	// watchWait is how long a watch waits for a change. Its end tells routers up to which revision
-	// of the store the agent's routes are the newest.
+	// watchWait is how long a watch waits for a change. As a watch may hang, it bounds how late an
+	// agent sees one.
 	watchWait = time.Second
+	// minDoubtInterval is the shortest time between two reads of the store because routers doubt
+	// that the agent's routes are the newest.
+	minDoubtInterval = 500 * time.Millisecond
 )
 
 // SwapPlatform is the interface of a Swap to the users' platform. All fields but Prefix are
@@ -83,6 +86,8 @@
 	missingVersion int64
 	// missingUntil is when the store is read for it.
 	missingUntil time.Time
+	// doubtedAt is the time of the last read because of doubts.
+	doubtedAt time.Time
 }
 
 // NewSwap returns an agent that has not been started. The settings must be complete for an
@@ -95,11 +100,11 @@
 	s.mirror = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.Prefix, WatchPause: watchPause, WatchWait: watchWait, Log: log.Logger,
 		OnChange: s.onStoreChange, Watching: s.watchesRoutes,
-		OnCurrent: func(revision int64) { s.daemon.ConfirmRoutes(revision) },
+		OnFullRead: func(revision int64) { s.daemon.ConfirmRoutes(revision) },
 	})
 	s.daemon = swapd.New(swapd.Options{
 		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder, Metrics: s.registry,
-		OnStaleRoutes: s.onStaleRoutes,
+		OnStaleRoutes: s.onStaleRoutes, OnRoutesDoubted: s.onRoutesDoubted,
 	})
 	return s
 }
@@ -147,10 +152,21 @@
 	}
 }
 
+// onRoutesDoubted is called when a router knows a revision of the store at which there may be newer
+// routes than those that the agent has read. Its watch may have skipped them.
+func (s *Swap) onRoutesDoubted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.doubtedAt) >= minDoubtInterval {
+		s.doubtedAt = now
+		s.mirror.Refresh()
+	}
+}
+
 // onStoreChange adopts the routes in a snapshot of the store.
 func (s *Swap) onStoreChange(snapshot mirror.Snapshot) {
 	if t := s.platform.Routes(snapshot.Entries); t != nil {
-		s.daemon.AdoptRoutes(t.Engine(s.cfg.Endpoint.Service), t.Version, snapshot.Revision, s.platform.RoutesDocument(snapshot.Entries))
+		s.daemon.AdoptRoutes(t.Engine(s.cfg.Endpoint.Service), t.Version, s.platform.RoutesDocument(snapshot.Entries))
 	}
 }
 
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -58,6 +58,9 @@
 	OfferDeltas(list []delta.Delta, source string, revision int64, readAt time.Time) error
 	// Confirm notes that a version was the newest at a revision of the store.
 	Confirm(version, revision int64)
+	// UnseenRevision returns a revision of the store at which there may be a newer version; 0 if there
+	// is none.
+	UnseenRevision() int64
 	// Want notes a version that an agent has and has not sent in time.
 	Want(version int64)
 }
--- a/io/relayd/sources.go
+++ b/io/relayd/sources.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	version := a.d.opts.Routes.Version()
-	request := &wirepb.Routes{Version: version, AcceptsDeltas: true}
+	request := &wirepb.Routes{Version: version, AcceptsDeltas: true, UnseenRevision: a.d.opts.Routes.UnseenRevision()}
 	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: request}}); err != nil {
 		return err
 	}
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -61,6 +61,9 @@
 	// OnStaleRoutes is called with a router's version of the routes if it is newer than the
 	// agent's. It is called for each demand from such a router.
 	OnStaleRoutes func(version int64)
+	// OnRoutesDoubted is called when a router asks for the routes as of a later revision of the
+	// store than the agent knows. It should cause the store to be read.
+	OnRoutesDoubted func()
 }
 
 // Daemon is an agent. It implements wire.Handler for routers. Its methods may be called
@@ -113,9 +116,9 @@
 }
 
 // AdoptRoutes sets the capacity of the endpoint's engine, which is nil if its service has no
-// models, and the routes from which it was read, unless newer ones are known. revision is a revision
-// of the store at which they were the newest. Routers can fetch the document from the agent.
-func (d *Daemon) AdoptRoutes(engine *route.Engine, version, revision int64, document []byte) {
+// models, and the routes from which it was read, unless newer ones are known. Routers can fetch the
+// document from the agent.
+func (d *Daemon) AdoptRoutes(engine *route.Engine, version int64, document []byte) {
 	d.mu.Lock()
 	before, _ := d.routes.Latest()
 	if version < before {
@@ -126,7 +129,6 @@
 		d.routes.Add(version, document)
 		d.routesChanges = make(map[int64][]byte)
 	}
-	d.routesRevision = max(d.routesRevision, revision)
 	latest := d.latestReport
 	d.mu.Unlock()
 	if version > before && latest.Instance != "" {
@@ -231,7 +233,11 @@
 
 // sendRoutes answers a router's request for the routes.
 func (d *Daemon) sendRoutes(s *wire.Stream, ask *wirepb.Routes) {
-	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: d.routesSince(ask)}}); err != nil {
+	answer := d.routesSince(ask)
+	if ask.GetUnseenRevision() > answer.GetStoreRevision() {
+		d.opts.OnRoutesDoubted()
+	}
+	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: answer}}); err != nil {
 		d.log.Info().Err(err).Msg("could not send routes to router")
 	}
 }
