--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,8 @@
 type router struct {
 	t    *testing.T
 	feed *feed.Feed
+	// mu guards all that follows.
+	mu sync.Mutex
 	// document and revision are those of the store.
 	document string
 	revision int64
@@ -54,24 +57,32 @@
 func newRouter(t *testing.T) *router {
 	r := &router{t: t, document: "1}", revision: 1, agents: true}
 	r.feed = feed.New(feed.Options{
-		Decode: decode, AgentsConnected: func() bool { return r.agents }, Log: zerolog.Nop(),
+		Decode: decode, Log: zerolog.Nop(),
+		AgentsConnected: func() bool {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.agents
+		},
 		Adopt: func(table *route.Table, source string, _ time.Time) {
-			r.adopted = append(r.adopted, fmt.Sprint(source, " ", table.Version))
+			r.do(func() { r.adopted = append(r.adopted, fmt.Sprint(source, " ", table.Version)) })
 		},
 		AskAgents: func() {
-			r.asked++
-			if r.confirming {
-				go r.feed.Confirm(r.feed.Version(), r.revision)
-			}
+			r.do(func() {
+				r.asked++
+				if r.confirming {
+					revision := r.revision
+					go func() { r.feed.Confirm(r.feed.Version(), revision) }()
+				}
+			})
 		},
 		ReadStore: func() {
-			r.reads = append(r.reads, time.Now())
+			r.do(func() { r.reads = append(r.reads, time.Now()) })
 			go r.read()
 		},
-		OnSkipped: func() { r.skipped++ },
+		OnSkipped: func() { r.do(func() { r.skipped++ }) },
 	})
 	r.read()
-	r.adopted = nil
+	r.do(func() { r.adopted = nil })
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go r.feed.Run(ctx)
@@ -80,21 +91,37 @@
 	return r
 }
 
+// do calls fn with mu held.
+func (r *router) do(fn func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn()
+}
+
 // read is what a mirror does when it reads the store.
 func (r *router) read() {
-	if err := r.feed.Offer([]byte(r.document), "store", r.revision, time.Now()); err != nil {
+	var document string
+	var revision int64
+	r.do(func() { document, revision = r.document, r.revision })
+	if err := r.feed.Offer([]byte(document), "store", revision, time.Now()); err != nil {
 		r.t.Error(err)
 	}
-	r.feed.StoreRead(r.revision)
+	r.feed.StoreRead(revision)
 }
 
-// put writes a version, which the watch of the endpoints shows as a revision that it has not
-// delivered.
-func (r *router) put(version int64) {
-	r.document, r.revision = fmt.Sprint(version, "}"), r.revision+1
+// raise raises the revision of the store, which the watch of the endpoints shows without having
+// delivered it.
+func (r *router) raise() {
+	r.do(func() { r.revision++ })
 	r.feed.Unseen(r.revision)
 }
 
+// put writes a version.
+func (r *router) put(version int64) {
+	r.do(func() { r.document = fmt.Sprint(version, "}") })
+	r.raise()
+}
+
 func TestSourceOfANewVersion(t *testing.T) {
 	for name, c := range map[string]struct {
 		run   func(r *router)
@@ -115,17 +142,16 @@
 		}, "[agent 2]", 0, 0},
 		"an agent has an older one": {func(r *router) {
 			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
-			r.revision = 2
+			r.do(func() { r.revision = 2 })
 			r.put(3)
 			r.feed.Confirm(2, 2)
 		}, "[agent 2 store 3]", 1, 0},
 		"agents are silent":        {func(r *router) { r.put(2) }, "[store 2]", 1, 0},
-		"there are no agents":      {func(r *router) { r.agents = false; r.put(2) }, "[store 2]", 1, 0},
-		"an agent fails to send":   {func(r *router) { r.document = "2}"; r.feed.Want(2) }, "[store 2]", 1, 0},
+		"there are no agents":      {func(r *router) { r.do(func() { r.agents = false }); r.put(2) }, "[store 2]", 1, 0},
+		"an agent fails to send":   {func(r *router) { r.do(func() { r.document = "2}" }); r.feed.Want(2) }, "[store 2]", 1, 0},
 		"several versions at once": {func(r *router) { r.put(2); r.put(3); r.put(4) }, "[store 4]", 1, 0},
 		"an agent confirms": {func(r *router) {
-			r.revision++
-			r.feed.Unseen(r.revision)
+			r.raise()
 			r.feed.Confirm(1, r.revision)
 		}, "[]", 0, 1},
 		"an older document": {func(r *router) {
@@ -151,10 +177,10 @@
 				c.run(r)
 				// A version must be in force within two seconds, most of which the watch may take.
 				time.Sleep(500 * time.Millisecond)
-				assert.Equal(t, c.want, fmt.Sprint(r.adopted))
+				r.do(func() { assert.Equal(t, c.want, fmt.Sprint(r.adopted)) })
 				time.Sleep(time.Minute)
-				assert.Len(t, r.reads, c.reads)
-				assert.Equal(t, c.skipped, r.skipped)
+				r.do(func() { assert.Len(t, r.reads, c.reads) })
+				r.do(func() { assert.Equal(t, c.skipped, r.skipped) })
 			})
 		})
 	}
@@ -165,20 +191,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouter(t)
 		for range 600 {
-			r.revision++
-			r.feed.Unseen(r.revision)
+			r.raise()
 			time.Sleep(100 * time.Millisecond)
 		}
-		assert.Less(t, len(r.reads), 14)
-		assert.Positive(t, r.skipped, "a watch may have skipped a change")
-		assert.Less(t, r.skipped, 14)
+		r.do(func() { assert.Less(t, len(r.reads), 14) })
+		r.do(func() { assert.Positive(t, r.skipped, "a watch may have skipped a change") })
+		r.do(func() { assert.Less(t, r.skipped, 14) })
 		r.put(2)
 		time.Sleep(9 * time.Second)
-		assert.Equal(t, []string{"store 2"}, r.adopted)
+		r.do(func() { assert.Equal(t, []string{"store 2"}, r.adopted) })
 		time.Sleep(20 * time.Second)
 		r.put(3)
 		time.Sleep(500 * time.Millisecond)
-		assert.Equal(t, []string{"store 2", "store 3"}, r.adopted)
+		r.do(func() { assert.Equal(t, []string{"store 2", "store 3"}, r.adopted) })
 	})
 }
 
@@ -193,7 +218,7 @@
 		time.Sleep(500 * time.Millisecond)
 		assert.EqualValues(t, 101, r.feed.Version())
 		// One read each 0.3 s, the lead of the agents.
-		assert.LessOrEqual(t, len(r.reads), 35)
+		r.do(func() { assert.LessOrEqual(t, len(r.reads), 35) })
 	})
 }
 
@@ -207,14 +232,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRouter(t)
-				r.document = "2}" + strings.Repeat("x", 100_000)
+				r.do(func() { r.document = "2}" + strings.Repeat("x", 100_000) })
 				require.NoError(t, r.feed.Offer([]byte(r.document), "agent", 1, time.Now()))
-				r.confirming = c.confirming
-				r.revision++
-				r.feed.Unseen(r.revision)
+				r.do(func() { r.confirming = c.confirming })
+				r.raise()
 				time.Sleep(1600 * time.Millisecond)
-				assert.Len(t, r.reads, c.reads)
-				assert.Positive(t, r.asked)
+				r.do(func() { assert.Len(t, r.reads, c.reads) })
+				r.do(func() { assert.Positive(t, r.asked) })
 			})
 		})
 	}
--- a/io/mirror/unseen_test.go
+++ b/io/mirror/unseen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -14,20 +15,29 @@
 // watchedMirror is a mirror of the keys under p/ that keeps what it reports.
 type watchedMirror struct {
 	*Mirror
+	// mu guards the fields that follow but watching.
+	mu       sync.Mutex
 	entries  map[string][]byte
 	unseen   []int64
 	reads    []int64
 	watching atomic.Bool
 }
 
+// do calls fn with mu held.
+func (m *watchedMirror) do(fn func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fn()
+}
+
 func startWatchedMirror(t *testing.T, f Store) *watchedMirror {
 	m := &watchedMirror{}
 	m.watching.Store(true)
 	m.Mirror = New(Options{
 		Store: f, Prefix: "p/", WatchPause: time.Millisecond, WatchWait: 50 * time.Millisecond, Log: zerolog.Nop(),
-		OnChange: func(s Snapshot) { m.entries = s.Entries }, Watching: m.watching.Load,
-		OnFullRead: func(revision int64) { m.reads = append(m.reads, revision) },
-		OnUnseen:   func(revision int64) { m.unseen = append(m.unseen, revision) },
+		OnChange: func(s Snapshot) { m.do(func() { m.entries = s.Entries }) }, Watching: m.watching.Load,
+		OnFullRead: func(revision int64) { m.do(func() { m.reads = append(m.reads, revision) }) },
+		OnUnseen:   func(revision int64) { m.do(func() { m.unseen = append(m.unseen, revision) }) },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -66,7 +76,7 @@
 				m := startWatchedMirror(t, f)
 				c.change(f, m)
 				time.Sleep(200 * time.Millisecond)
-				assert.Equal(t, c.want, m.unseen)
+				m.do(func() { assert.Equal(t, c.want, m.unseen) })
 			})
 		})
 	}
@@ -84,15 +94,15 @@
 		f.put("p/a", "2")
 		f.put("p/a", "3")
 		time.Sleep(time.Minute)
-		assert.Equal(t, "1", string(m.entries["p/a"]))
+		m.do(func() { assert.Equal(t, "1", string(m.entries["p/a"])) })
 		m.Refresh()
 		time.Sleep(time.Second)
-		assert.Equal(t, "3", string(m.entries["p/a"]))
+		m.do(func() { assert.Equal(t, "3", string(m.entries["p/a"])) })
 		f.put("p/a", "4")
 		f.compact()
 		m.watching.Store(true)
 		time.Sleep(time.Second)
-		assert.Equal(t, "4", string(m.entries["p/a"]))
-		assert.Equal(t, []int64{1, 3, 4}, m.reads)
+		m.do(func() { assert.Equal(t, "4", string(m.entries["p/a"])) })
+		m.do(func() { assert.Equal(t, []int64{1, 3, 4}, m.reads) })
 	})
 }
