config: start with any plain figure of the platform

Callers of a fleet whose settings hold a fraction where ours wanted a whole number got nothing: each process ended at its start with 'retries.extra: bad value, want a whole number'. The figures of retries, memory and drain time come from the platform, which writes whole numbers, fractions or booleans, and may leave one out; the last left a file that could not be parsed.

A figure that can't be used now leaves the default, after a reload the earlier value, with one line in the log; check-settings still names it as an error. Numbers may be in quotes, so that an absent one leaves a valid file. retries.extra may have a fraction, and so may memory with a unit.

--- a/config/decode.go
+++ b/config/decode.go
@@ -30,6 +30,9 @@
 	// tagRequiredBy is the tag with the roles that require the field, separated by commas,
 	// such as `need:"router,agent"`.
 	tagRequiredBy = "need"
+	// tagFallback marks a field that keeps its earlier value, or its default, if the value in the
+	// file can't be used.
+	tagFallback = "fallback"
 )
 
 // decoder decodes a settings file into a struct. It continues after an error, so that fieldErrors
@@ -190,6 +193,23 @@
 	}
 }
 
+// fieldByPath returns the scalar field of the struct v at a path in the file, and whether it has
+// tagFallback. It returns false if there is no such field.
+func fieldByPath(v reflect.Value, path string) (reflect.Value, bool) {
+	name, rest, nested := strings.Cut(path, ".")
+	i := slices.Index(fieldNames(v.Type()), name)
+	if i < 0 || name == "" {
+		return reflect.Value{}, false
+	}
+	if !nested {
+		return v.Field(i), v.Type().Field(i).Tag.Get(tagFallback) != ""
+	}
+	if v.Field(i).Kind() != reflect.Struct {
+		return reflect.Value{}, false
+	}
+	return fieldByPath(v.Field(i), rest)
+}
+
 // isUnset reports whether v is its zero value, an empty slice or an empty map.
 func isUnset(v reflect.Value) bool {
 	if v.Kind() == reflect.Slice || v.Kind() == reflect.Map {
--- a/config/platform.go
+++ b/config/platform.go
@@ -27,8 +27,15 @@
 
 	// source is the file that was read.
 	source *source
+	// ignored holds an error for each value of the file that is not in use.
+	ignored []*FieldError
 }
 
+// Ignored returns the errors of the values in the file that can't be used and that the process
+// can do without: their fields have the earlier value, or the default. It returns nil if there
+// are none.
+func (c *PlatformConfig) Ignored() error { return joinFieldErrors(c.ignored) }
+
 // PlatformStore is the section "store": how the process reads the platform's key-value store.
 type PlatformStore struct {
 	// Address is the address of the store.
@@ -64,10 +71,10 @@
 // plus Extra, as retries.
 type PlatformRetries struct {
 	// Ratio is the maximum number of retries per request, between 0 and 1.
-	Ratio float64 `json:"ratio" default:"0.2"`
+	Ratio float64 `json:"ratio" default:"0.2" fallback:"true"`
 	// Extra is the number of retries that are allowed in addition within Window.
-	Extra  int           `json:"extra" default:"50"`
-	Window time.Duration `json:"window" default:"10s"`
+	Extra  float64       `json:"extra" default:"50" fallback:"true"`
+	Window time.Duration `json:"window" default:"10s" fallback:"true"`
 }
 
 // LoadPlatform reads and validates the settings file of a process on the users' platform.
@@ -81,10 +88,15 @@
 }
 
 // Reread reads the settings file again and returns the new settings, to which it applies
-// complete, such as (*PlatformConfig).CompleteForRouter. The receiver stays unchanged. The
-// new settings are valid only if the error is nil.
+// complete, such as (*PlatformConfig).CompleteForRouter. The receiver stays unchanged, and its
+// values take the place of those that can't be used, see Ignored. The new settings are valid only
+// if the error is nil.
 func (c *PlatformConfig) Reread(complete func(*PlatformConfig) error) (*PlatformConfig, error) {
-	reread, err := LoadPlatform(c.source.name)
+	data, err := readFile(c.source.name)
+	if err != nil {
+		return nil, err
+	}
+	reread, err := parsePlatform(c.source.name, data, c)
 	if err != nil {
 		return nil, err
 	}
@@ -95,16 +107,30 @@
 // Load. ParsePlatform accepts settings that lack fields: CompleteForRouter and
 // CompleteForAgent check that the fields which a role requires are set.
 func ParsePlatform(name string, data []byte) (*PlatformConfig, error) {
+	defaults := &PlatformConfig{}
+	setDefaults(reflect.ValueOf(defaults).Elem())
+	return parsePlatform(name, data, defaults)
+}
+
+// parsePlatform parses and validates settings. Fields that may fall back have their value in
+// earlier if the one in the file can't be used.
+func parsePlatform(name string, data []byte, earlier *PlatformConfig) (*PlatformConfig, error) {
 	c := &PlatformConfig{source: newSource(name, data)}
 	setDefaults(reflect.ValueOf(c).Elem())
 	dec := decoder{source: c.source}
 	dec.decodeFile(reflect.ValueOf(c).Elem())
-	if len(dec.fieldErrors) > 0 {
-		return nil, joinFieldErrors(dec.fieldErrors)
+	if err := c.fallBack(dec.fieldErrors, earlier); err != nil {
+		return nil, err
 	}
 	f := fieldErrors{source: c.source}
-	c.Process.check(&f)
-	c.Log.check(&f)
+	c.check(&f)
+	return c, c.fallBack(f.list, earlier)
+}
+
+// check validates the values that are set.
+func (c *PlatformConfig) check(f *fieldErrors) {
+	c.Process.check(f)
+	c.Log.check(f)
 	f.checkDuration("store.pace", c.Store.WatchPause, 10*time.Millisecond, 10*time.Second)
 	f.checkDuration("store.wait", c.Store.WatchWait, 10*time.Millisecond, 30*time.Second)
 	f.checkDuration("retries.window", c.Retries.Window, 100*time.Millisecond, time.Hour)
@@ -114,12 +140,28 @@
 	if c.Retries.Extra < 0 {
 		f.add(ErrBadValue, "retries.extra", "at least 0")
 	}
-	return c, joinFieldErrors(f.list)
+}
+
+// fallBack gives the fields with a tagFallback for which there is an error the value that they
+// have in earlier, and adds the errors to ignored. It returns the other errors as one.
+func (c *PlatformConfig) fallBack(errs []*FieldError, earlier *PlatformConfig) error {
+	var fatal []*FieldError
+	for _, e := range errs {
+		dst, mayFallBack := fieldByPath(reflect.ValueOf(c).Elem(), e.Field)
+		if !mayFallBack {
+			fatal = append(fatal, e)
+			continue
+		}
+		value, _ := fieldByPath(reflect.ValueOf(earlier).Elem(), e.Field)
+		dst.Set(value)
+		c.ignored = append(c.ignored, e)
+	}
+	return joinFieldErrors(fatal)
 }
 
 // CheckFile validates a settings file for the roles for which it has sections. A file with a
 // section "store" is validated as a PlatformConfig, any other as a Config. Errors are as for
-// Load.
+// Load; values that a process would ignore are errors too.
 func CheckFile(path string) error {
 	data, err := readFile(path)
 	if err != nil {
@@ -136,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	return cfg.CompleteForRoles()
+	return errors.Join(cfg.Ignored(), cfg.CompleteForRoles())
 }
 
 // hasStoreSection reports whether a file has a section "store". It reports false for a file
--- a/config/process.go
+++ b/config/process.go
@@ -23,10 +23,10 @@
 	// timeline.
 	Admin netip.AddrPort `json:"admin" need:"router,agent"`
 	// DrainTimeout is the maximum time that a shutdown waits for requests in progress.
-	DrainTimeout time.Duration `json:"drain-timeout" default:"60s"`
+	DrainTimeout time.Duration `json:"drain-timeout" default:"60s" fallback:"true"`
 	// Memory is the memory available to the process; 0 means no limit. It has an effect on the
 	// users' platform only.
-	Memory fleet.Bytes `json:"memory"`
+	Memory fleet.Bytes `json:"memory" fallback:"true"`
 }
 
 // check validates the values that are set.
--- a/config/scalar.go
+++ b/config/scalar.go
@@ -17,8 +17,8 @@
 const (
 	wantAddr     = `an IP address and a port from 1 to 65535, such as "10.0.0.7:7400" or "[fd00::7]:7400" (no host name)`
 	wantDuration = `a duration with a unit, such as "250ms" or "10s"`
-	wantNumber   = "a number"
-	wantBytes    = `a whole number of bytes, or a string such as "64KiB", "4MiB" or "80GiB"`
+	wantNumber   = `a number, with or without quotes`
+	wantBytes    = `a whole number of bytes, or a string such as "64KiB", "4.5MiB" or "80GiB"`
 	wantString   = `a string in quotes`
 	wantBool     = `true or false`
 	wantInt      = `a whole number`
@@ -108,9 +108,9 @@
 		dst.SetBool(lit.Bool())
 		return lit.Kind() == 't' || lit.Kind() == 'f'
 	case reflect.Float64:
-		x, err := strconv.ParseFloat(string(lit), 64)
+		x, err := strconv.ParseFloat(lit.String(), 64)
 		dst.SetFloat(x)
-		return err == nil
+		return err == nil && !math.IsNaN(x) && !math.IsInf(x, 0)
 	default:
 		n, err := strconv.Atoi(string(lit))
 		dst.SetInt(int64(n))
@@ -124,7 +124,8 @@
 	bytes  fleet.Bytes
 }{{"KiB", fleet.KiB}, {"MiB", fleet.MiB}, {"GiB", fleet.GiB}}
 
-// parseBytes parses a byte count: a number, or a string with a unit. It reports whether the
+// parseBytes parses a byte count: a whole number, or a string with a unit, which may have a
+// fraction. It reports whether the
 // literal is valid; negative counts and overflows are not.
 func parseBytes(lit hujson.Literal) (fleet.Bytes, bool) {
 	digits, unit := string(lit), fleet.Bytes(1)
@@ -136,6 +137,10 @@
 			}
 		}
 	}
+	if x, err := strconv.ParseFloat(digits, 64); err == nil && unit > 1 && strings.Contains(digits, ".") {
+		x *= float64(unit)
+		return fleet.Bytes(x), x >= 0 && x < math.MaxInt64
+	}
 	n, err := strconv.ParseInt(digits, 10, 64)
 	if err != nil || n < 0 || n > math.MaxInt64/int64(unit) {
 		return 0, false
--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -75,6 +75,6 @@
 		requests += w.requestCounts[i]
 		retries += w.retryCounts[i]
 	}
-	extra := float64(b.cfg.RetryExtra) / float64(b.routerCount)
+	extra := b.cfg.RetryExtra / float64(b.routerCount)
 	return float64(retries+1) <= budgetShare*(b.cfg.RetryRatio*float64(requests)+extra)
 }
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -18,7 +18,7 @@
 	// service: within RetryWindow, at most RetryRatio times the number of requests, plus
 	// RetryExtra retries.
 	RetryRatio  float64
-	RetryExtra  int
+	RetryExtra  float64
 	RetryWindow time.Duration
 }
 
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -78,7 +78,9 @@
 // Relay is a router process on the users' platform. Start must be called first, then Stop
 // once.
 type Relay struct {
-	cfg         *config.PlatformConfig
+	cfg *config.PlatformConfig
+	// reloaded holds the settings as of the last Reload.
+	reloaded    *config.PlatformConfig
 	platform    RelayPlatform
 	log         *logs.Log
 	daemon      *relayd.Daemon
@@ -99,7 +101,7 @@
 // NewRelay returns a router that has not been started. The settings must be complete for a
 // router.
 func NewRelay(cfg *config.PlatformConfig, log *logs.Log, platform RelayPlatform) *Relay {
-	r := &Relay{cfg: cfg, platform: platform, log: log, failed: make(chan error, 2)}
+	r := &Relay{cfg: cfg, reloaded: cfg, platform: platform, log: log, failed: make(chan error, 2)}
 	clock := &event.Clock{}
 	r.registry = metrics.NewRegistry()
 	r.recorder = newPlatformRecorder(cfg, log, clock, r.registry)
@@ -220,16 +222,26 @@
 }
 
 // Reload reads the settings file again and applies the limits of retries. Other settings take
-// effect only in a new process. If the file is invalid, Reload logs the error and changes
-// nothing.
+// effect only in a new process. A limit that can't be used keeps its value, which is logged. If
+// the file is invalid otherwise, Reload logs the error and changes nothing. It must not be called
+// concurrently.
 func (r *Relay) Reload() {
-	cfg, err := r.cfg.Reread((*config.PlatformConfig).CompleteForRouter)
+	cfg, err := r.reloaded.Reread((*config.PlatformConfig).CompleteForRouter)
 	if err != nil {
 		r.log.Error().Err(err).Msg("settings left out")
 		return
 	}
+	logIgnored(r.log, cfg)
+	r.reloaded = cfg
 	r.daemon.Configure(relaySettings(cfg))
-	r.log.Info().Float64("retry-ratio", cfg.Retries.Ratio).Int("retry-extra", cfg.Retries.Extra).Msg("settings reloaded")
+	r.log.Info().Float64("retry-ratio", cfg.Retries.Ratio).Float64("retry-extra", cfg.Retries.Extra).Msg("settings reloaded")
+}
+
+// logIgnored logs the values in reloaded settings that can't be used.
+func logIgnored(log *logs.Log, cfg *config.PlatformConfig) {
+	if err := cfg.Ignored(); err != nil {
+		log.Warn().Err(err).Msg("settings ignored, earlier values in use")
+	}
 }
 
 // relaySettings returns the settings of the router's reducer.
@@ -336,5 +348,8 @@
 		return nil, fmt.Errorf("open log: %w", err)
 	}
 	log.LimitRate(maxLogLinesPerSecond)
+	if err := cfg.Ignored(); err != nil {
+		log.Warn().Err(err).Msg("settings ignored, defaults in use")
+	}
 	return log, nil
 }
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -194,10 +194,12 @@
 // Reload validates the settings file again and logs the result. It applies nothing, because no
 // setting of an agent can change while the process runs.
 func (s *Swap) Reload() {
-	if _, err := s.cfg.Reread((*config.PlatformConfig).CompleteForAgent); err != nil {
+	cfg, err := s.cfg.Reread((*config.PlatformConfig).CompleteForAgent)
+	if err != nil {
 		s.log.Error().Err(err).Msg("settings left out")
 		return
 	}
+	logIgnored(s.log, cfg)
 	s.log.Info().Msg("settings reloaded")
 }
 
