core/relay: tell agents of usage only when it matters

A router sent an agent its usage at each refresh, as rates decay and numbers of running requests change all the time: 806 demands in 28 s to 49 agents, for 72 requests (trial with counters). Now a rate must have changed by 30%, or running requests begun or ended, or the model become the only replica; the rest follows after 6 s.

--- a/core/relay/demand.go
+++ b/core/relay/demand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,12 @@
 	// are sent the current traffic if it is longer than minRefreshInterval. It keeps the
 	// number of demands per second independent of the size of the fleet.
 	refreshPerEndpoint = 20 * time.Millisecond
+	// minRateChange, in requests per second, and minRateChangeRatio are the changes of a model's
+	// rate of which one must be exceeded for an agent to be told at the next refresh. Smaller
+	// changes do not change which model it unloads; they are told after usageLifetime.
+	minRateChange      = 0.1
+	minRateChangeRatio = 0.3
+	usageLifetime      = 6 * time.Second
 )
 
 // sendDueDemands sends new demands to the agents whose requested loads have changed, or to all
@@ -52,14 +59,29 @@
 		return
 	}
 	demand := stock.Demand{Wants: requests, Uses: s.usageOf(e), ReportGap: s.reportGap()}
-	if len(demand.Wants) == 0 && len(e.lastDemand.Wants) == 0 && slices.Equal(demand.Uses, e.lastDemand.Uses) &&
-		demand.ReportGap == e.lastDemand.ReportGap {
+	if len(demand.Wants) == 0 && len(e.lastDemand.Wants) == 0 && demand.ReportGap == e.lastDemand.ReportGap && !s.usageOutdated(e, demand.Uses) {
 		return
 	}
-	e.lastDemand = demand
+	e.lastDemand, e.demandedAt = demand, s.now
 	s.emit(SendDemand{Instance: e.Instance, Demand: demand})
 }
 
+// usageOutdated reports whether the agent of an endpoint must be told the router's usage because it
+// differs from the one that it was told in a way that matters, or has differed for usageLifetime.
+func (s *State) usageOutdated(e *endpoint, usage []stock.ModelUsage) bool {
+	last := e.lastDemand.Uses
+	if slices.Equal(usage, last) {
+		return false
+	}
+	return !s.now.Before(e.demandedAt.Add(usageLifetime)) || !slices.EqualFunc(usage, last, similarUsage)
+}
+
+// similarUsage reports whether a and b tell the same apart from small changes of numbers.
+func similarUsage(a, b stock.ModelUsage) bool {
+	return a.Model == b.Model && a.Adapter == b.Adapter && (a.Running > 0) == (b.Running > 0) &&
+		(a.Holders == 1) == (b.Holders == 1) && math.Abs(a.Rate-b.Rate) <= max(minRateChange, minRateChangeRatio*min(a.Rate, b.Rate))
+}
+
 // loadRequestsFor returns the loads requested from an endpoint, sorted by item: pending
 // loads and replica requests.
 func (s *State) loadRequestsFor(e *endpoint) []stock.LoadRequest {
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -72,6 +72,8 @@
 	listedStock stock.Report
 	// lastDemand is the demand last sent to the agent; zero if the agent is not connected.
 	lastDemand stock.Demand
+	// demandedAt is the time at which it was sent.
+	demandedAt time.Time
 	// limit is the latest known rate limit of the endpoint. limitedUntil is the time until which
 	// it is of no use to ask for a permit, nextPermitAt the start of the next permit.
 	limit                      stock.EndpointLimit
