core/relay, platform: handle only what has changed in the endpoint list

Each answer of the store with any change of an endpoint copied all entries, for the comparison with the ones before, and once more for an effect that connects to all agents although none had come or gone.

--- a/core/relay/follow.go
+++ b/core/relay/follow.go
@@ -44,9 +44,10 @@
 	s.agentCount = countAgents(s.endpoints)
 	if s.agentCount <= followAllLimit {
 		s.followed = nil
-		s.emit(FollowAgents{List: entriesOf(s.endpoints)})
+		s.followAll()
 		return
 	}
+	s.followedAll = nil
 	followTargets := s.followTargets()
 	followed := make(map[string]time.Time, len(followTargets))
 	changed := !s.followsSubset() || len(followTargets) != len(s.followed)
@@ -69,6 +70,19 @@
 	}
 }
 
+// followAll emits a FollowAgents effect for all agents if their endpoints have changed since the
+// last one.
+func (s *State) followAll() {
+	same := slices.EqualFunc(s.followedAll, s.endpoints, func(m EndpointEntry, e *endpoint) bool {
+		return m.Instance == e.Instance && m.Address == e.Address && m.HasModels == e.HasModels
+	})
+	if same && s.followedAll != nil {
+		return
+	}
+	s.followedAll = entriesOf(s.endpoints)
+	s.emit(FollowAgents{List: s.followedAll})
+}
+
 // countAgents returns the number of endpoints with an agent.
 func countAgents(list []*endpoint) int {
 	n := 0
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -183,6 +183,7 @@
 	}
 	s.index.drop(e)
 	s.dropLimit(e)
+	s.followedAll = nil
 	if !e.Leaving {
 		s.reportCrash(e)
 	}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -52,6 +52,9 @@
 	// followed maps the followed instances, to whose agents the router is connected, to the
 	// time since which they are followed. It is nil if all agents are followed.
 	followed map[string]time.Time
+	// followedAll is the list of the last FollowAgents effect if all agents are followed; nil if
+	// it must be sent again.
+	followedAll []EndpointEntry
 	// nextFollowAt is the time at which the followed agents are selected again.
 	// followUpdatePending reports whether they must be selected again after the current event.
 	nextFollowAt        time.Time
