--- a/io/relayd/agents.go
+++ b/io/relayd/agents.go
@@ -159,11 +159,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
-	s, err := conn.Open()
+	s, err := conn.OpenBackground()
 	if err != nil {
 		return err
 	}
-	s.SetBackground()
 	if err := s.Send(demandFrame(stock.Demand{})); err != nil {
 		return err
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -43,8 +43,10 @@
 	// keepAliveInterval is the interval of yamux keepalives. On accepted connections, where
 	// pingLoop does not run, only keepalives detect that the other process has failed.
 	keepAliveInterval = 30 * time.Second
-	// readBufferBytes is the size of a stream's read buffer.
-	readBufferBytes = 16 << 10
+	// readBufferBytes is the size of the read buffer of a stream that carries responses, and
+	// smallBufferBytes that of other streams. A router has two of these for each agent.
+	readBufferBytes  = 16 << 10
+	smallBufferBytes = 1 << 10
 )
 
 // Handler serves the streams that other processes open.
@@ -163,7 +165,7 @@
 // exchangeHellos sends this process's hello on a new stream, waits for the other process's
 // hello and keeps the stream as the control stream.
 func (c *Conn) exchangeHellos(ctx context.Context) error {
-	s, err := c.Open()
+	s, err := c.open(smallBufferBytes)
 	if err != nil {
 		return err
 	}
@@ -221,7 +223,7 @@
 		if err != nil {
 			return
 		}
-		go c.serve(ctx, c.newStream(raw))
+		go c.serve(ctx, c.newStream(raw, smallBufferBytes))
 	}
 }
 
@@ -236,7 +238,20 @@
 }
 
 // Open opens a new stream. The caller must close it.
-func (c *Conn) Open() (*Stream, error) {
+func (c *Conn) Open() (*Stream, error) { return c.open(readBufferBytes) }
+
+// OpenBackground opens a new stream for small frames on which no request depends; see
+// SetBackground. The caller must close it.
+func (c *Conn) OpenBackground() (*Stream, error) {
+	s, err := c.open(smallBufferBytes)
+	if err == nil {
+		s.SetBackground()
+	}
+	return s, err
+}
+
+// open opens a new stream with a read buffer of the given size.
+func (c *Conn) open(bufferBytes int) (*Stream, error) {
 	raw, err := c.session.OpenStream()
 	if err != nil {
 		return nil, fmt.Errorf("open stream: %w", err)
@@ -245,13 +260,14 @@
 	case c.streamOpened <- struct{}{}:
 	default:
 	}
-	return c.newStream(raw), nil
+	return c.newStream(raw, bufferBytes), nil
 }
 
-// newStream returns the Stream for a yamux stream and counts it as active.
-func (c *Conn) newStream(raw *yamux.Stream) *Stream {
+// newStream returns the Stream for a yamux stream and counts it as active. bufferBytes is the size
+// of its read buffer.
+func (c *Conn) newStream(raw *yamux.Stream, bufferBytes int) *Stream {
 	c.activeStreams.Add(1)
-	return &Stream{conn: c, raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes), done: make(chan struct{})}
+	return &Stream{conn: c, raw: raw, r: bufio.NewReaderSize(raw, bufferBytes), done: make(chan struct{})}
 }
 
 // Stream is a bidirectional stream of frames on a connection. One goroutine may send while
