config, io/node: watch the endpoints as often as their leaving demands

Routers watched the store every 0.7 s whatever the deployment asks. The pause and the wait of a watch now follow from the time within which a leaving endpoint must be known (store.max-age, filled in from the platform's drainMs): as before at 2 s, half as often at 4 s. Time lines of processes on the platform take 5 MB at most in place of 20.

--- a/config/platform.go
+++ b/config/platform.go
@@ -40,12 +40,34 @@
 type PlatformStore struct {
 	// Address is the address of the store.
 	Address netip.AddrPort `json:"address" need:"router,agent"`
-	// WatchPause is the pause between two watches for changes.
-	WatchPause time.Duration `json:"pace" default:"700ms"`
-	// WatchWait is how long a watch waits for changes. The sum of the defaults of WatchPause
-	// and WatchWait is below two seconds, because a change must be in force within two
-	// seconds.
-	WatchWait time.Duration `json:"wait" default:"800ms"`
+	// MaxAge is the time within which a process must know that an endpoint leaves.
+	MaxAge time.Duration `json:"max-age" default:"2s" fallback:"true"`
+	// WatchPause is the pause between two watches for changes. If it is 0, it follows from
+	// MaxAge.
+	WatchPause time.Duration `json:"pace"`
+	// WatchWait is how long a watch waits for changes. If it is 0, it follows from MaxAge.
+	WatchWait time.Duration `json:"wait"`
+}
+
+// Parts of PlatformStore.MaxAge that a watch and the pause before it take. The rest is for a
+// watch that hangs and is made again. maxWatchPause bounds the pause, as new endpoints are used
+// only after it.
+const (
+	watchPauseShare = 0.35
+	watchWaitShare  = 0.4
+	maxWatchPause   = 2 * time.Second
+)
+
+// WatchTimes returns the pause between two watches and how long a watch waits for changes.
+func (s PlatformStore) WatchTimes() (pause, wait time.Duration) {
+	pause, wait = s.WatchPause, s.WatchWait
+	if pause == 0 {
+		pause = min(time.Duration(watchPauseShare*float64(s.MaxAge)), maxWatchPause)
+	}
+	if wait == 0 {
+		wait = time.Duration(watchWaitShare * float64(s.MaxAge))
+	}
+	return pause, wait
 }
 
 // PlatformCallers is the section "callers": how a router serves callers.
@@ -131,8 +153,13 @@
 func (c *PlatformConfig) check(f *fieldErrors) {
 	c.Process.check(f)
 	c.Log.check(f)
-	f.checkDuration("store.pace", c.Store.WatchPause, 10*time.Millisecond, 10*time.Second)
-	f.checkDuration("store.wait", c.Store.WatchWait, 10*time.Millisecond, 30*time.Second)
+	f.checkDuration("store.max-age", c.Store.MaxAge, 100*time.Millisecond, time.Minute)
+	if c.Store.WatchPause != 0 {
+		f.checkDuration("store.pace", c.Store.WatchPause, 10*time.Millisecond, 10*time.Second)
+	}
+	if c.Store.WatchWait != 0 {
+		f.checkDuration("store.wait", c.Store.WatchWait, 10*time.Millisecond, 30*time.Second)
+	}
 	f.checkDuration("retries.window", c.Retries.Window, 100*time.Millisecond, time.Hour)
 	if c.Retries.Ratio < 0 || c.Retries.Ratio > 1 {
 		f.add(ErrBadValue, "retries.ratio", "between 0 and 1")
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -35,9 +35,8 @@
 	// other reasons causes little load.
 	minReadInterval = 300 * time.Millisecond
 	maxReadInterval = 8 * time.Second
-	// adoptedBefore is how long before a revision is known to be unseen a version of it may have come
-	// from an agent: a watch of the endpoints and its pause.
-	adoptedBefore = 2 * time.Second
+	// watchDelay is how much longer than its pause and its wait a watch of the endpoints may take.
+	watchDelay = 500 * time.Millisecond
 	// checkInterval is how often Run checks whether the store must be read.
 	checkInterval = 50 * time.Millisecond
 )
@@ -63,7 +62,10 @@
 	// OnSkipped is called if the store's revision has risen for another reason than a new version of
 	// the routes. The watch of the endpoints may have skipped a change. It must not block.
 	OnSkipped func()
-	Log       zerolog.Logger
+	// WatchCycle is the time that a watch of the endpoints and the pause before it take: a version
+	// may have come from an agent as long before its revision is known to be unseen.
+	WatchCycle time.Duration
+	Log        zerolog.Logger
 }
 
 // Feed has the current document of the routes. Its methods may be called concurrently.
@@ -174,7 +176,7 @@
 func (f *Feed) settle(revision int64) {
 	wasUnseen := f.unseenRevision > f.knownRevision
 	f.knownRevision = max(f.knownRevision, revision)
-	if wasUnseen && f.unseenRevision <= f.knownRevision && f.adoptedAt.Before(f.unseenAt.Add(-adoptedBefore)) {
+	if wasUnseen && f.unseenRevision <= f.knownRevision && f.adoptedAt.Before(f.unseenAt.Add(-f.opts.WatchCycle-watchDelay)) {
 		f.skipDue = true
 	}
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -57,7 +57,8 @@
 func newRouter(t *testing.T) *router {
 	r := &router{t: t, document: "1}", revision: 1, agents: true}
 	r.feed = feed.New(feed.Options{
-		Decode: decode, Log: zerolog.Nop(),
+		WatchCycle: 1500 * time.Millisecond,
+		Decode:     decode, Log: zerolog.Nop(),
 		AgentsConnected: func() bool {
 			r.mu.Lock()
 			defer r.mu.Unlock()
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -105,8 +105,10 @@
 	clock := &event.Clock{}
 	r.registry = metrics.NewRegistry()
 	r.recorder = newPlatformRecorder(cfg, log, clock, r.registry)
+	pause, wait := cfg.Store.WatchTimes()
 	r.routesFeed = feed.New(feed.Options{
-		Decode: platform.DecodeRoutes, Log: log.Logger,
+		WatchCycle: pause + wait,
+		Decode:     platform.DecodeRoutes, Log: log.Logger,
 		AgentsConnected: func() bool { return r.daemon.AgentsConnected() },
 		Adopt: func(t *route.Table, source string, readAt time.Time) {
 			r.daemon.AdoptRoutes(t, relayd.Origin{Source: source, ReadAt: readAt})
@@ -124,7 +126,7 @@
 		Routes:            r.routesFeed,
 	})
 	r.endpoints = mirror.New(mirror.Options{
-		Store: platform.Store, Prefix: platform.EndpointsPrefix, WatchPause: cfg.Store.WatchPause, WatchWait: cfg.Store.WatchWait, Log: log.Logger,
+		Store: platform.Store, Prefix: platform.EndpointsPrefix, WatchPause: pause, WatchWait: wait, Log: log.Logger,
 		OnChange: r.onEndpoints, OnUnseen: r.routesFeed.Unseen,
 	})
 	r.routes = mirror.New(mirror.Options{
@@ -140,10 +142,16 @@
 	return r
 }
 
+// platformTimelineLimits keep the time line of a process on the users' platform within 5 MB, as
+// hosts there have little memory.
+var platformTimelineLimits = line.Limits{
+	MaxEntries: 1 << 12, MaxBytes: fleet.MiB, MaxNotes: 1 << 10, MaxRoutineEntries: 1 << 11, MaxLargeBytes: fleet.MiB,
+}
+
 // newPlatformRecorder returns the recorder of events and effects of a process on the users'
 // platform. The recording has no header, so that Replay can't replay it.
 func newPlatformRecorder(cfg *config.PlatformConfig, log *logs.Log, clock *event.Clock, registry metrics.Registry) *line.Recorder {
-	return line.New(cfg.Process.ID, clock, line.DefaultLimits(), line.WithMetrics(registry), line.WithLog(log.Logger))
+	return line.New(cfg.Process.ID, clock, platformTimelineLimits, line.WithMetrics(registry), line.WithLog(log.Logger))
 }
 
 // handleReadiness answers the readiness checks of the load balancer.
