core/swap: poll a busy endpoint as often as its reports need

An agent polled its endpoint ten times a second while requests run, though its reports to 103 routers are 3 s apart: with the reports' interval (30 ms for each router) polls are now up to 0.3 s apart, as of an idle endpoint. At five routers nothing changes; an endpoint that is down is polled as before.

--- a/core/swap/publish_test.go
+++ b/core/swap/publish_test.go
@@ -164,3 +164,25 @@
 		})
 	}
 }
+
+// An agent polls a busy endpoint no more often than its reports to many routers need.
+func TestPollsFollowReports(t *testing.T) {
+	for name, c := range map[string]struct{ routers, most int }{"5": {5, 101}, "27": {27, 51}, "103": {103, 35}} {
+		t.Run(name, func(t *testing.T) {
+			r := newReportCounter(t, c.routers, "m0")
+			polls := 0
+			for range 1000 {
+				r.now = r.now.Add(10 * time.Millisecond)
+				for _, eff := range r.state.Apply(r.now, event.Tick{}) {
+					if _, ok := eff.(Poll); ok {
+						polls++
+						snapshot := r.endpoint.observe()
+						snapshot.Report.Running = 3
+						r.state.Apply(r.now, Observed{AskedAt: r.now, Engine: snapshot})
+					}
+				}
+			}
+			assert.LessOrEqual(t, polls, c.most)
+		})
+	}
+}
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -14,7 +14,7 @@
 
 const (
 	// busyPollInterval is the time between two polls while an order or a load request is
-	// pending, runningPollInterval while the endpoint executes requests, and
+	// pending, runningPollInterval the shortest while the endpoint executes requests, and
 	// idlePollInterval otherwise. They can be short because the endpoint is on the same
 	// host and answers from memory.
 	busyPollInterval    = 30 * time.Millisecond
@@ -253,8 +253,11 @@
 		return
 	}
 	interval := idlePollInterval
-	if s.snapshot.Report.Running > 0 || s.endpointDown {
+	switch {
+	case s.endpointDown:
 		interval = runningPollInterval
+	case s.snapshot.Report.Running > 0:
+		interval = s.runningPollInterval()
 	}
 	if s.pendingOrder != nil || len(s.loadRequests()) > 0 {
 		interval = busyPollInterval
@@ -268,6 +271,13 @@
 	s.emit(Poll{})
 }
 
+// runningPollInterval returns the time between two polls while the endpoint executes requests:
+// about a quarter of the time between two reports of the load.
+func (s *State) runningPollInterval() time.Duration {
+	reportInterval := time.Duration(len(s.routers)) * reportIntervalPerRouter
+	return min(max(runningPollInterval, reportInterval/4), idlePollInterval)
+}
+
 // wakeAt requests a Tick event at the given time.
 func (s *State) wakeAt(at time.Time) { s.emit(event.Wake{At: at}) }
 
