core/relay, platform: obey what endpoints say of themselves

A hold-off is a deadline that only a longer one moves; after it, routers come back spread over time and with one request at a time. A request that all endpoints hold off is loaded elsewhere if that is in time, or refused at once with the soonest time.

Not done: the soak does not play these answers, status does not show them, and routers of the older kind, whose agents speak to engines, do not read them. Agents' health checks, which learn an endpoint's name, are not held off.

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -39,6 +39,9 @@
 	// Limited reports whether the endpoint is known to have a rate limit, whose end its answer
 	// may tell.
 	Limited bool
+	// HeldOff reports whether the endpoint has held this router off and has not taken a request
+	// since.
+	HeldOff bool
 }
 
 // Kind implements event.Effect.
@@ -107,6 +110,9 @@
 	// RateLimited means that the rate limits of the endpoints leave no room before the caller
 	// leaves.
 	RateLimited Reason = "rate-limited"
+	// EndpointsHoldOff means that all endpoints that could serve the request want no requests from
+	// this router for some time.
+	EndpointsHoldOff Reason = "endpoints-hold-off"
 	// Stopping means that the router is shutting down.
 	Stopping Reason = "stopping"
 	// PromptCrashes means that a part of the prompt crashes endpoints.
@@ -248,7 +254,8 @@
 // EndpointLeaving reports that an endpoint has begun to leave or is gone, for the log.
 type EndpointLeaving struct {
 	Endpoint string
-	// Source is the store, or "agent" for a report of the endpoint's agent.
+	// Source is "store", "agent" for a report of the endpoint's agent, or "endpoint" for the
+	// endpoint's own answer.
 	Source string
 	// Listed reports whether the endpoint is still in the list.
 	Listed bool
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -48,6 +48,9 @@
 		return laterTime(r.permit.startAt, s.now), ""
 	}
 	engine := s.table.Engine(r.Service)
+	if at, all := s.heldOffUntil(r); all {
+		return s.heldOffSendTime(r, engine, at)
+	}
 	if at, limited := s.permitsLeftAt(r); limited {
 		return s.limitedSendTime(r, engine, at)
 	}
@@ -65,6 +68,20 @@
 	return s.joinOrRequestLoad(r, engine)
 }
 
+// heldOffSendTime returns the time at which a request is expected to be sent whose endpoints all
+// hold the router off until the given time. Unless another replica can be loaded in time, it is to
+// be refused as EndpointsHoldOff.
+func (s *State) heldOffSendTime(r *request, engine *route.Engine, until time.Time) (time.Time, Reason) {
+	if engine == nil || r.Item.Model == "" || s.requestsUnknownModel(r) {
+		return until, EndpointsHoldOff
+	}
+	loadedAt, reason := s.joinOrRequestLoad(r, engine)
+	if reason == "" && s.hasPendingLoad(loadKey{r.Service, r.Item}) && loadedAt.Add(minRunTime).Before(r.callerTimeoutAt()) {
+		return loadedAt, ""
+	}
+	return until, EndpointsHoldOff
+}
+
 // limitedSendTime returns the time at which a request is expected to be sent whose endpoints
 // have no permits until permitsAt. If it can't wait for one, another replica is loaded, or it is
 // to be refused as RateLimited. An adapter is always loaded elsewhere, as that takes little time.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -57,6 +57,8 @@
 const (
 	sourceStore = "store"
 	sourceAgent = "agent"
+	// sourceEndpoint is the endpoint's own answer.
+	sourceEndpoint = "endpoint"
 )
 
 // reportLeaving reports that an endpoint has begun to leave, unless it was leaving before.
@@ -109,13 +111,16 @@
 		s.reportCrash(e)
 		s.abortAttempts(e)
 		s.dropLimit(e)
+		s.forgetWord(e)
 		e = nil
 	}
 	if e == nil {
 		e = newEndpoint(m, s.now)
 		e.tieBreak = s.tieBreakOf(m.Instance)
+		e.word.leaving = s.hasLeft(m)
 	}
 	e.update(m)
+	e.Leaving = e.Leaving || e.word.leaving
 	s.index.add(e)
 	s.index.addFormerHolders(e, before)
 	return e
@@ -151,6 +156,9 @@
 	if ev.Report.Down && !e.Leaving {
 		s.reportCrash(e)
 	}
+	if ev.Report.Down {
+		s.forgetWord(e)
+	}
 	s.applyVerdicts(e, ev.Report)
 	s.spreadVerdicts(e)
 	s.unassignLoadsIfLeaving(e)
