core/relay: refuse at once what nobody can load

Now it is refused as no-loader once the service has had no agent for 3 s; what an endpoint holds is served as before. Who orders loads then is still open (endpoints without an agent).

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -110,6 +110,8 @@
 	// RateLimited means that the rate limits of the endpoints leave no room before the caller
 	// leaves.
 	RateLimited Reason = "rate-limited"
+	// NoLoader means that no endpoint has the model and no agent is connected to load it.
+	NoLoader Reason = "no-loader"
 	// EndpointsHoldOff means that all endpoints that could serve the request want no requests from
 	// this router for some time.
 	EndpointsHoldOff Reason = "endpoints-hold-off"
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -38,6 +38,9 @@
 	EndpointEntry
 	// hasAgent reports whether the agent is connected and has reported.
 	hasAgent bool
+	// agentLostAt is the time at which the connection to the agent was last lost; zero if it never
+	// was.
+	agentLostAt time.Time
 	// listedAt is the time at which the endpoint first appeared in the list.
 	listedAt time.Time
 	// reportedAt is the time of the agent's last report; zero if there was none.
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -16,6 +16,13 @@
 	// overdueTolerance is how much later than its reported completion time a load may be
 	// done. After it, another endpoint is asked.
 	overdueTolerance = 700 * time.Millisecond
+	// noAgentTimeout is how long a service may be without a connected agent before requests for
+	// what no endpoint has loaded are refused. Routers that are cut off for a moment reconnect
+	// sooner.
+	noAgentTimeout = 3 * time.Second
+	// noLoaderRetryDelay is when callers should retry such a request. Agents that have been gone
+	// for noAgentTimeout are not merely restarting, and callers retry only once or twice.
+	noLoaderRetryDelay = 10 * time.Second
 )
 
 // loadKey identifies an item of a service.
@@ -65,9 +72,25 @@
 	if !usable || engine == nil || r.Item.Model == "" {
 		return time.Time{}, NoEndpoint
 	}
+	if !s.mayOrderLoads(r.Service) {
+		return s.now.Add(noLoaderRetryDelay), NoLoader
+	}
 	return s.joinOrRequestLoad(r, engine)
 }
 
+// mayOrderLoads reports whether an agent of the service is connected, or may connect soon. Without
+// agents nothing can be loaded.
+func (s *State) mayOrderLoads(service string) bool {
+	for _, e := range s.index.endpointsByService[service] {
+		switch {
+		case e.Leaving:
+		case e.hasAgent, s.now.Before(e.listedAt.Add(noAgentTimeout)), s.now.Before(e.agentLostAt.Add(noAgentTimeout)):
+			return true
+		}
+	}
+	return false
+}
+
 // heldOffSendTime returns the time at which a request is expected to be sent whose endpoints all
 // hold the router off until the given time. Unless another replica can be loaded in time, it is to
 // be refused as EndpointsHoldOff.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -215,6 +215,9 @@
 // others.
 func (s *State) handleAgentLost(ev AgentLost) {
 	if e := s.endpoint(ev.Instance); e != nil {
+		if e.hasAgent {
+			e.agentLostAt = s.now
+		}
 		e.hasAgent, e.toldCrashCount = false, 0
 		if e.Stock.Down {
 			// Only the agent can tell that the endpoint is back.
