core/swap: tell of unloads sooner, poll during a load as its end nears

All are now told after 2 ms for each router, in place of 10 ms.

Agents took as much processor time as routers (0.021 of a core each, 160 of them). They polled their endpoints every 30 ms as long as a load went on, 2 to 13 s, or a replica was wanted that they would not load: 99 polls in 3 s and 70 in a load of 2.5 s, now at most 11 and 30 (TestPollsDuringLoad): the interval is a quarter of the time that is left.

--- a/core/swap/publish.go
+++ b/core/swap/publish.go
@@ -22,6 +22,9 @@
 	// reports to all routers if loaded models or loads have changed. Routers that are concerned are
 	// told at once.
 	stockIntervalPerRouter = 10 * time.Millisecond
+	// goneIntervalPerRouter is the same if a model or adapter is gone: a router that does not know
+	// that sends requests in vain.
+	goneIntervalPerRouter = 2 * time.Millisecond
 	// routersReportInterval is the minimum time between two reports to all routers that differ
 	// only in the number of routers. It is short because a router that knows of too few others
 	// takes too large a share of the retry budget.
@@ -80,6 +83,22 @@
 	return slices.EqualFunc(a.Models, b.Models, stock.LoadedModel.Equal) && slices.EqualFunc(a.Loads, b.Loads, sameItem)
 }
 
+// somethingGone reports whether a model or adapter is loaded according to the report old and not
+// according to r.
+func somethingGone(r, old *stock.Report) bool {
+	for _, m := range old.Models {
+		if !r.Holds(stock.Item{Model: m.Model}) {
+			return true
+		}
+		for _, a := range m.Adapters {
+			if !r.Holds(stock.Item{Model: m.Model, Adapter: a}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // sameItem reports whether a and b load the same item, regardless of their ReadyAt.
 func sameItem(a, b stock.ScheduledLoad) bool { return a.Item == b.Item }
 
@@ -88,6 +107,9 @@
 func (s *State) broadcastDue(r *stock.Report) bool {
 	old, sinceLast := s.publishedReport, s.now.Sub(s.publishedAt)
 	stockInterval := time.Duration(len(s.routers)) * stockIntervalPerRouter
+	if somethingGone(r, old) {
+		stockInterval = time.Duration(len(s.routers)) * goneIntervalPerRouter
+	}
 	loadInterval := max(time.Duration(len(s.routers))*reportIntervalPerRouter, s.reportGap())
 	switch {
 	case r.Routers != old.Routers && sinceLast >= routersReportInterval:
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -13,13 +13,15 @@
 )
 
 const (
-	// busyPollInterval is the time between two polls while an order or a load request is
-	// pending, runningPollInterval the shortest while the endpoint executes requests, and
+	// busyPollInterval is the time between two polls while a load request for waiting requests is
+	// pending or the end of an order is near, runningPollInterval the shortest while the endpoint executes requests, and
 	// idlePollInterval otherwise. They can be short because the endpoint is on the same
 	// host and answers from memory.
 	busyPollInterval    = 30 * time.Millisecond
 	runningPollInterval = 100 * time.Millisecond
 	idlePollInterval    = 300 * time.Millisecond
+	// pollsPerLoad divides the time that is left of a load to give the interval of polls.
+	pollsPerLoad = 4
 	// pollTimeout is the time after which an unanswered poll is repeated.
 	pollTimeout = time.Second
 	// demandTTL is how long a router's demand is valid without being renewed. It is long
@@ -259,7 +261,10 @@
 	case s.snapshot.Report.Running > 0:
 		interval = s.runningPollInterval()
 	}
-	if s.pendingOrder != nil || len(s.loadRequests()) > 0 {
+	switch {
+	case s.pendingOrder != nil:
+		interval = s.pendingOrder.pollInterval(s.now)
+	case slices.ContainsFunc(s.loadRequests(), func(req stock.LoadRequest) bool { return req.Waiting > 0 }):
 		interval = busyPollInterval
 	}
 	at := s.polledAt.Add(interval)
@@ -271,6 +276,13 @@
 	s.emit(Poll{})
 }
 
+// pollInterval returns the time between two polls while the order is pending: short when its end
+// is near, as the estimate of a long load may be some of its time off.
+func (o *pendingOrder) pollInterval(now time.Time) time.Duration {
+	left := o.estimatedDone.Sub(now)
+	return min(max(busyPollInterval, left/pollsPerLoad), idlePollInterval)
+}
+
 // runningPollInterval returns the time between two polls while the endpoint executes requests:
 // about a quarter of the time between two reports of the load.
 func (s *State) runningPollInterval() time.Duration {
