core/relay, core/swap: an endpoint's word counts when the caller has left

A router dropped what an endpoint said of itself if the caller of that request had disconnected. Agents forgot which report an idle router had been sent when its demand ran out, and sent it the next change again.

--- a/core/relay/word.go
+++ b/core/relay/word.go
@@ -34,13 +34,13 @@
 // IsZero reports whether the word says nothing.
 func (w Word) IsZero() bool { return w == Word{} }
 
-// WordHeard carries what the head of the answer to the attempt in progress says of the endpoint.
-// It must be sent for each answer of an endpoint that is known to be held off or says something.
+// WordHeard carries what the head of an answer says of the endpoint. It must be sent for each answer
+// of an endpoint that says something, and for each answer to an attempt with Send.HeldOff.
 type WordHeard struct {
-	ID RequestID
-	// Try is the number of the attempt.
-	Try  int
-	Word Word
+	// ID is the answered request, which may have ended meanwhile.
+	ID       RequestID
+	Instance string
+	Word     Word
 }
 
 // Kind implements event.Event.
@@ -79,11 +79,10 @@
 
 // handleWordHeard applies an endpoint's own word.
 func (s *State) handleWordHeard(ev WordHeard) {
-	r := s.requests[ev.ID]
-	if r == nil || r.target == nil || r.attemptCount != ev.Try {
+	e := s.endpoint(ev.Instance)
+	if e == nil {
 		return
 	}
-	e := r.target
 	if ev.Word.Leaving && !e.word.leaving {
 		e.word.leaving = true
 		s.rememberLeft(e)
@@ -97,7 +96,7 @@
 		s.holdOff(e, min(ev.Word.HoldOff, maxHoldOff))
 		return
 	}
-	if e.word.returning {
+	if e.word.returning && e.word.trial == ev.ID {
 		e.word.returning, e.word.trial = false, 0
 		s.emit(HeldOff{Endpoint: e.Instance})
 		s.dispatchWaiting()
--- a/core/relay/word_test.go
+++ b/core/relay/word_test.go
@@ -14,7 +14,7 @@
 )
 
 func (router *testRouter) hearWord(id RequestID, w Word) {
-	router.apply(WordHeard{ID: id, Try: router.state.requests[id].attemptCount, Word: w})
+	router.apply(WordHeard{ID: id, Instance: router.state.requests[id].target.Instance, Word: w})
 }
 
 // serve has a request for model a served to its end, and returns the endpoint that got it.
@@ -114,6 +114,16 @@
 	assert.Len(t, effectsOf[Send](router), 1)
 }
 
+// What an endpoint says counts although the caller has left meanwhile.
+func TestWordCountsAfterCallerHasLeft(t *testing.T) {
+	router := newTestRouter(t, testEntry("p1", plain))
+	id := router.arrive(plainRoute(route.Unsafe), stock.Item{})
+	router.apply(CallerDone{ID: id})
+	router.apply(WordHeard{ID: id, Instance: "p1", Word: Word{HoldOff: time.Second}})
+	router.arrive(plainRoute(route.Safe), stock.Item{})
+	assert.Equal(t, EndpointsHoldOff, onlyEffect[Refuse](router).Reason)
+}
+
 // A hold-off is a deadline that only a longer one moves; it is bounded, and other endpoints serve
 // meanwhile.
 func TestHoldOffValues(t *testing.T) {
--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -380,7 +380,7 @@
 	merged := make(map[stock.Item]stock.LoadRequest)
 	for id, d := range s.routers {
 		if s.now.After(d.expiresAt) {
-			s.routers[id] = routerDemand{expiresAt: d.expiresAt}
+			s.routers[id] = routerDemand{expiresAt: d.expiresAt, told: d.told}
 			continue
 		}
 		for _, req := range d.Wants {
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -299,7 +299,7 @@
 	if info.Result == relay.Replaced || info.Word.IsZero() && !send.HeldOff {
 		return
 	}
-	x.d.loop.Post(relay.WordHeard{ID: x.id, Try: send.Try, Word: info.Word})
+	x.d.loop.Post(relay.WordHeard{ID: x.id, Instance: send.Instance, Word: info.Word})
 }
 
 // reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
