--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -38,7 +38,7 @@
 	leastCost, candidates, unlimited := 0.0, 0, 0
 	cachedInstance, cachedTokens := s.promptIndex.cachedTokens(r)
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
-		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.word.takesRequest(s.now) {
+		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) {
 			continue
 		}
 		candidates++
--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -39,9 +39,9 @@
 	// Limited reports whether the endpoint is known to have a rate limit, whose end its answer
 	// may tell.
 	Limited bool
-	// HeldOff reports whether the endpoint has held this router off and has not taken a request
+	// AfterBackoff reports whether the endpoint has requested a backoff and has not taken a request
 	// since.
-	HeldOff bool
+	AfterBackoff bool
 }
 
 // Kind implements event.Effect.
@@ -112,9 +112,9 @@
 	RateLimited Reason = "rate-limited"
 	// NoLoader means that no endpoint has the model and no agent is connected to load it.
 	NoLoader Reason = "no-loader"
-	// EndpointsHoldOff means that all endpoints that could serve the request want no requests from
+	// BackoffRequested means that all endpoints that could serve the request want no requests from
 	// this router for some time.
-	EndpointsHoldOff Reason = "endpoints-hold-off"
+	BackoffRequested Reason = "backoff-requested"
 	// Stopping means that the router is shutting down.
 	Stopping Reason = "stopping"
 	// PromptCrashes means that a part of the prompt crashes endpoints.
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -81,8 +81,8 @@
 	// it is of no use to ask for a permit, nextPermitAt the start of the next permit.
 	limit                      stock.EndpointLimit
 	limitedUntil, nextPermitAt time.Time
-	// word is what the endpoint has said of itself.
-	word ownWord
+	// self is the self-reported status.
+	self selfStatus
 	// pendingAskCount is the number of unanswered asks for permits for the endpoint.
 	pendingAskCount int
 	// ownShare is the router's own share of the limit, for times without a granter.
--- a/core/relay/limits.go
+++ b/core/relay/limits.go
@@ -294,7 +294,7 @@
 		r.permit = nil
 		return false
 	}
-	if r.mayBeSentTo(p.endpoint, s.now) && !p.endpoint.full() && !s.wouldStallStreams(p.endpoint, r) && p.endpoint.word.takesRequest(s.now) {
+	if r.mayBeSentTo(p.endpoint, s.now) && !p.endpoint.full() && !s.wouldStallStreams(p.endpoint, r) && p.endpoint.self.takesRequest(s.now) {
 		s.send(r, p.endpoint, s.basisOf(p.endpoint, 1, 0))
 		return true
 	}
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -55,8 +55,8 @@
 		return laterTime(r.permit.startAt, s.now), ""
 	}
 	engine := s.table.Engine(r.Service)
-	if at, all := s.heldOffUntil(r); all {
-		return s.heldOffSendTime(r, engine, at)
+	if at, all := s.backoffOfAllUntil(r); all {
+		return s.backoffSendTime(r, engine, at)
 	}
 	if at, limited := s.permitsLeftAt(r); limited {
 		return s.limitedSendTime(r, engine, at)
@@ -91,18 +91,18 @@
 	return false
 }
 
-// heldOffSendTime returns the time at which a request is expected to be sent whose endpoints all
+// backoffSendTime returns the time at which a request is expected to be sent whose endpoints all
 // hold the router off until the given time. Unless another replica can be loaded in time, it is to
-// be refused as EndpointsHoldOff.
-func (s *State) heldOffSendTime(r *request, engine *route.Engine, until time.Time) (time.Time, Reason) {
+// be refused as BackoffRequested.
+func (s *State) backoffSendTime(r *request, engine *route.Engine, until time.Time) (time.Time, Reason) {
 	if engine == nil || r.Item.Model == "" || s.requestsUnknownModel(r) {
-		return until, EndpointsHoldOff
+		return until, BackoffRequested
 	}
 	loadedAt, reason := s.joinOrRequestLoad(r, engine)
 	if reason == "" && s.hasPendingLoad(loadKey{r.Service, r.Item}) && loadedAt.Add(minRunTime).Before(r.callerTimeoutAt()) {
 		return loadedAt, ""
 	}
-	return until, EndpointsHoldOff
+	return until, BackoffRequested
 }
 
 // limitedSendTime returns the time at which a request is expected to be sent whose endpoints
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -111,16 +111,16 @@
 		s.reportCrash(e)
 		s.abortAttempts(e)
 		s.dropLimit(e)
-		s.forgetWord(e)
+		s.forgetSelfStatus(e)
 		e = nil
 	}
 	if e == nil {
 		e = newEndpoint(m, s.now)
 		e.tieBreak = s.tieBreakOf(m.Instance)
-		e.word.leaving = s.hasLeft(m)
+		e.self.leaving = s.hasLeft(m)
 	}
 	e.update(m)
-	e.Leaving = e.Leaving || e.word.leaving
+	e.Leaving = e.Leaving || e.self.leaving
 	s.index.add(e)
 	s.index.addFormerHolders(e, before)
 	return e
@@ -157,7 +157,7 @@
 		s.reportCrash(e)
 	}
 	if ev.Report.Down {
-		s.forgetWord(e)
+		s.forgetSelfStatus(e)
 	}
 	s.applyVerdicts(e, ev.Report)
 	s.spreadVerdicts(e)
--- a/core/relay/word_test.go
+++ b/core/relay/selfstatus_test.go
@@ -13,8 +13,8 @@
 	"chervilreach/core/stock"
 )
 
-func (router *testRouter) hearWord(id RequestID, w Word) {
-	router.apply(WordHeard{ID: id, Instance: router.state.requests[id].target.Instance, Word: w})
+func (router *testRouter) receiveStatus(id RequestID, w SelfStatus) {
+	router.apply(SelfStatusReceived{ID: id, Instance: router.state.requests[id].target.Instance, Status: w})
 }
 
 // serve has a request for model a served to its end, and returns the endpoint that got it.
@@ -44,7 +44,7 @@
 }
 
 // What an endpoint says of its leaving outlives whatever others say, until its process has ended.
-func TestLeavingWordOutlivesOtherSources(t *testing.T) {
+func TestLeavingStatusOutlivesOtherSources(t *testing.T) {
 	for name, c := range map[string]struct {
 		then func(router *testRouter, target, other EndpointEntry)
 		used bool
@@ -65,7 +65,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			router, target, other, id := newTwoHolders(t)
-			router.hearWord(id, Word{Leaving: true})
+			router.receiveStatus(id, SelfStatus{Leaving: true})
 			require.Equal(t, sourceEndpoint, onlyEffect[EndpointLeaving](router).Source)
 			assert.Empty(t, effectsOf[AbortAttempt](router), "what runs goes on")
 			c.then(router, target, other)
@@ -89,44 +89,44 @@
 // An endpoint that holds the router off gets no requests until the time is over, then one at a time
 // until it has taken one. A request that nobody takes is refused at once with the time of the first
 // that does.
-func TestHeldOffEndpointGetsNoRequests(t *testing.T) {
+func TestBackedOffEndpointGetsNoRequests(t *testing.T) {
 	router := newTestRouter(t, testEntry("p1", plain))
 	id := router.arrive(plainRoute(route.Safe), stock.Item{})
 	require.Equal(t, "p1", onlyEffect[Send](router).Instance)
-	router.hearWord(id, Word{HoldOff: 2 * time.Second})
-	until := onlyEffect[HeldOff](router).Until
+	router.receiveStatus(id, SelfStatus{Backoff: 2 * time.Second})
+	until := onlyEffect[BackoffChanged](router).Until
 	assert.WithinRange(t, until, router.now.Add(2*time.Second), router.now.Add(2200*time.Millisecond))
 	router.endAttempt(id, Shed)
 	refusal := onlyEffect[Refuse](router)
-	assert.Equal(t, EndpointsHoldOff, refusal.Reason)
+	assert.Equal(t, BackoffRequested, refusal.Reason)
 	assert.Equal(t, until, refusal.RetryAt)
 	router.arrive(plainRoute(route.Unsafe), stock.Item{})
-	assert.Equal(t, EndpointsHoldOff, onlyEffect[Refuse](router).Reason)
+	assert.Equal(t, BackoffRequested, onlyEffect[Refuse](router).Reason)
 	router.now = until
 	first := router.arrive(plainRoute(route.Safe), stock.Item{})
-	require.True(t, onlyEffect[Send](router).HeldOff)
+	require.True(t, onlyEffect[Send](router).AfterBackoff)
 	second := router.arrive(plainRoute(route.Safe), stock.Item{})
 	assert.Empty(t, effectsOf[Send](router), "one at a time")
-	router.hearWord(first, Word{})
-	assert.True(t, onlyEffect[HeldOff](router).Until.IsZero())
+	router.receiveStatus(first, SelfStatus{})
+	assert.True(t, onlyEffect[BackoffChanged](router).Until.IsZero())
 	assert.Equal(t, second, onlyEffect[Send](router).ID)
 	router.arrive(plainRoute(route.Safe), stock.Item{})
 	assert.Len(t, effectsOf[Send](router), 1)
 }
 
 // What an endpoint says counts although the caller has left meanwhile.
-func TestWordCountsAfterCallerHasLeft(t *testing.T) {
+func TestSelfStatusCountsAfterCallerHasLeft(t *testing.T) {
 	router := newTestRouter(t, testEntry("p1", plain))
 	id := router.arrive(plainRoute(route.Unsafe), stock.Item{})
 	router.apply(CallerDone{ID: id})
-	router.apply(WordHeard{ID: id, Instance: "p1", Word: Word{HoldOff: time.Second}})
+	router.apply(SelfStatusReceived{ID: id, Instance: "p1", Status: SelfStatus{Backoff: time.Second}})
 	router.arrive(plainRoute(route.Safe), stock.Item{})
-	assert.Equal(t, EndpointsHoldOff, onlyEffect[Refuse](router).Reason)
+	assert.Equal(t, BackoffRequested, onlyEffect[Refuse](router).Reason)
 }
 
-// A hold-off is a deadline that only a longer one moves; it is bounded, and other endpoints serve
+// A backoff is a deadline that only a longer one moves; it is bounded, and other endpoints serve
 // meanwhile.
-func TestHoldOffValues(t *testing.T) {
+func TestBackoffValues(t *testing.T) {
 	for name, c := range map[string]struct {
 		words []time.Duration
 		least time.Duration
@@ -136,20 +136,20 @@
 		"fraction":            {[]time.Duration{250 * time.Millisecond}, 250 * time.Millisecond, 275 * time.Millisecond},
 		"then a shorter one":  {[]time.Duration{4 * time.Second, time.Second}, 4 * time.Second, 4400 * time.Millisecond},
 		"then a longer one":   {[]time.Duration{time.Second, 4 * time.Second}, 4 * time.Second, 4400 * time.Millisecond},
-		"longer than allowed": {[]time.Duration{1000 * time.Hour}, maxHoldOff, maxHoldOff + maxHoldOffSpread},
+		"longer than allowed": {[]time.Duration{1000 * time.Hour}, maxBackoff, maxBackoff + maxBackoffSpread},
 	} {
 		t.Run(name, func(t *testing.T) {
 			router, target, other, id := newTwoHolders(t)
 			startedAt := router.now
 			for _, d := range c.words {
-				router.hearWord(id, Word{HoldOff: d})
+				router.receiveStatus(id, SelfStatus{Backoff: d})
 			}
 			e := router.state.endpoint(target.Instance)
 			if c.most == 0 {
-				assert.True(t, e.word.heldOffUntil.IsZero())
+				assert.True(t, e.self.backoffUntil.IsZero())
 				return
 			}
-			assert.WithinRange(t, e.word.heldOffUntil, startedAt.Add(c.least), startedAt.Add(c.most))
+			assert.WithinRange(t, e.self.backoffUntil, startedAt.Add(c.least), startedAt.Add(c.most))
 			for range 20 {
 				assert.Equal(t, other.Instance, router.serve())
 			}
@@ -161,13 +161,13 @@
 	}
 }
 
-// A model whose holders all hold off is loaded elsewhere if that is in time.
-func TestModelOfHeldOffHolderIsLoadedElsewhere(t *testing.T) {
+// A model whose holders all request a backoff is loaded elsewhere if that is in time.
+func TestModelOfBackedOffHolderIsLoadedElsewhere(t *testing.T) {
 	router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm))
 	router.report("e1", withModels("a"))
 	router.report("e2", withModels("b"))
 	id := router.arrive(patientRoute(), modelA)
-	router.hearWord(id, Word{HoldOff: time.Minute})
+	router.receiveStatus(id, SelfStatus{Backoff: time.Minute})
 	router.endAttempt(id, Shed)
 	assert.Empty(t, effectsOf[Refuse](router))
 	demand := onlyEffect[SendDemand](router)
@@ -179,11 +179,11 @@
 
 // Simulates routers that all send to one endpoint which holds everybody off again and again, each
 // time from its own answer on: no router tries before its time is over.
-func TestHeldOffEndpointIsLeftAloneByFleet(t *testing.T) {
+func TestBackedOffEndpointIsLeftAloneByFleet(t *testing.T) {
 	const (
 		runTime = 30 * time.Second
 		step    = 10 * time.Millisecond
-		holdOff = 3 * time.Second
+		backoff = 3 * time.Second
 	)
 	for name, routers := range map[string]int{"5_routers": 5, "27_routers": 27, "107_routers": 107, "330_routers": 330} {
 		t.Run(name, func(t *testing.T) {
@@ -203,14 +203,14 @@
 							continue
 						}
 						total++
-						require.False(t, router.now.Before(answeredAt.Add(holdOff)))
-						router.hearWord(send.ID, Word{HoldOff: holdOff})
+						require.False(t, router.now.Before(answeredAt.Add(backoff)))
+						router.receiveStatus(send.ID, SelfStatus{Backoff: backoff})
 						router.endAttempt(send.ID, Shed)
 						answeredAt = router.now
 					}
 				}
 			}
-			assert.LessOrEqual(t, total, routers*int(runTime/holdOff+1))
+			assert.LessOrEqual(t, total, routers*int(runTime/backoff+1))
 			t.Logf("%d tries in %v", total, runTime)
 		})
 	}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -153,8 +153,8 @@
 		s.handleEndpointsListed(ev)
 	case AgentReported:
 		s.handleAgentReported(ev)
-	case WordHeard:
-		s.handleWordHeard(ev)
+	case SelfStatusReceived:
+		s.handleSelfStatusReceived(ev)
 	case LimitObserved:
 		s.handleLimitObserved(ev)
 	case PermitAnswered:
@@ -267,8 +267,8 @@
 	r.target, r.answerBegan, r.sentAt, r.permit = e, false, s.now, nil
 	r.attemptCount++
 	e.addAttempt(r)
-	if e.word.returning {
-		e.word.trial = r.id
+	if e.self.returning {
+		e.self.trial = r.id
 	}
 	if r.attemptCount > 1 {
 		s.retryBudget.countRetry(s.now, r.Service)
@@ -279,7 +279,7 @@
 		FirstBy: firstBy, MaxGap: maxGap, Once: !r.Route.Idempotent(),
 		ID: r.id, Try: r.attemptCount, Instance: e.Instance, Address: e.Address, Deadline: r.Deadline,
 		LastEvent: r.LastEvent, Version: r.weightsVersion, Urgency: r.Route.Priority, Basis: basis,
-		Limited: e.limit.InForce(), HeldOff: e.word.returning,
+		Limited: e.limit.InForce(), AfterBackoff: e.self.returning,
 	})
 }
 
@@ -332,7 +332,7 @@
 func (s *State) detach(r *request) {
 	if r.target != nil {
 		r.target.removeAttempt(r)
-		r.target.word.endTrial(r.id)
+		r.target.self.endTrial(r.id)
 		r.target = nil
 	}
 }
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -246,8 +246,8 @@
 		go x.d.agents.reportLimit(eff)
 	case relay.LimitChanged:
 		x.d.logLimitChange(eff)
-	case relay.HeldOff:
-		x.d.logHoldOff(eff)
+	case relay.BackoffChanged:
+		x.d.logBackoff(eff)
 	case relay.EndpointLeaving:
 		x.d.logLeaving(eff)
 	case relay.Wait:
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -257,7 +257,7 @@
 	if err != nil {
 		return conns.IdleTimeout{}, err
 	}
-	x.reportWord(send, info)
+	x.reportSelfStatus(send, info)
 	x.reportLimit(send, info)
 	keep := conns.IdleTimeoutOf(resp)
 	if info.Result != "" {
@@ -289,17 +289,17 @@
 	return keep, nil
 }
 
-// reportWord passes on what the expected instance says of itself to the reducer, before the body of
+// reportSelfStatus passes on what the expected instance says of itself to the reducer, before the body of
 // its answer has been read.
-func (x *exchange) reportWord(send relay.Send, info AnswerInfo) {
-	if info.UnreadHoldOff != "" {
-		x.d.log.Info().Str("request", x.request.AttemptID).Str("endpoint", send.Instance).Str("value", info.UnreadHoldOff).
-			Msg("hold-off of endpoint ignored")
+func (x *exchange) reportSelfStatus(send relay.Send, info AnswerInfo) {
+	if info.MalformedBackoff != "" {
+		x.d.log.Info().Str("request", x.request.AttemptID).Str("endpoint", send.Instance).Str("value", info.MalformedBackoff).
+			Msg("malformed backoff of endpoint ignored")
 	}
-	if info.Result == relay.Replaced || info.Word.IsZero() && !send.HeldOff {
+	if info.Result == relay.Replaced || info.SelfStatus.IsZero() && !send.AfterBackoff {
 		return
 	}
-	x.d.loop.Post(relay.WordHeard{ID: x.id, Instance: send.Instance, Word: info.Word})
+	x.d.loop.Post(relay.SelfStatusReceived{ID: x.id, Instance: send.Instance, Status: info.SelfStatus})
 }
 
 // reportLimit passes on the rate limit in the answer of the expected instance to the reducer.
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -74,11 +74,11 @@
 	// received, for the log; empty if there is none.
 	Limit       relay.RateLimit
 	LimitHeader string
-	// Word is what the endpoint says of itself.
-	Word relay.Word
-	// UnreadHoldOff is a value with which the endpoint may hold off requests and that can't be
-	// read, for the log; empty if there is none.
-	UnreadHoldOff string
+	// SelfStatus is what the endpoint says of itself.
+	SelfStatus relay.SelfStatus
+	// MalformedBackoff is the value of a backoff that can't be read, for the log; empty if there is
+	// none.
+	MalformedBackoff string
 }
 
 // HeaderCodec defines the headers that the platform uses in requests and answers. Its methods
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -117,14 +117,14 @@
 	line.Int64("age-ms", time.Since(eff.Now.SeenAt).Milliseconds()).Str("told-by", eff.Source).Msg("limit of endpoint changed")
 }
 
-// logHoldOff logs and counts that an endpoint holds the router off, or takes requests again.
-func (d *Daemon) logHoldOff(eff relay.HeldOff) {
+// logBackoff logs and counts that an endpoint holds the router off, or takes requests again.
+func (d *Daemon) logBackoff(eff relay.BackoffChanged) {
 	if eff.Until.IsZero() {
 		d.log.Info().Str("endpoint", eff.Endpoint).Msg("endpoint takes requests again")
 		return
 	}
-	d.meters.holdOffs.Inc(1)
-	d.log.Info().Str("endpoint", eff.Endpoint).Int64("for-ms", time.Until(eff.Until).Milliseconds()).Msg("endpoint holds off requests")
+	d.meters.backoffs.Inc(1)
+	d.log.Info().Str("endpoint", eff.Endpoint).Int64("for-ms", time.Until(eff.Until).Milliseconds()).Msg("endpoint requested backoff")
 }
 
 // logLeaving logs that an endpoint has begun to leave.
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -18,7 +18,7 @@
 	metricLimits         = "relay.limits-in-force"
 	metricLimitChanges   = "relay.limit-changes"
 	metricConvictions    = "relay.convictions-in-force"
-	metricHoldOffs       = "relay.hold-offs"
+	metricBackoffs       = "relay.backoffs"
 	metricRoutesTime     = "relay.routes-adoption-time"
 	metricLeavingTime    = "relay.leaving-adoption-time"
 )
@@ -31,8 +31,8 @@
 	answerTime, firstEventTime metrics.Timer
 	// inFlight is the number of requests without a final answer.
 	inFlight metrics.Gauge
-	// holdOffs counts the hold-offs of endpoints.
-	holdOffs metrics.Counter
+	// backoffs counts the backoffs that endpoints have requested.
+	backoffs metrics.Counter
 	// routesTime and leavingTime measure new routes, and the leaving of endpoints, from when they
 	// were read until they are in force.
 	routesTime, leavingTime metrics.Timer
@@ -48,7 +48,7 @@
 		answerTime:     metrics.GetOrRegisterTimer(metricAnswerTime, registry),
 		firstEventTime: metrics.GetOrRegisterTimer(metricFirstEventTime, registry),
 		inFlight:       metrics.GetOrRegisterGauge(metricInFlight, registry),
-		holdOffs:       metrics.GetOrRegisterCounter(metricHoldOffs, registry),
+		backoffs:       metrics.GetOrRegisterCounter(metricBackoffs, registry),
 		routesTime:     metrics.GetOrRegisterTimer(metricRoutesTime, registry),
 		leavingTime:    metrics.GetOrRegisterTimer(metricLeavingTime, registry),
 	}
