--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -91,9 +91,9 @@
 	return false
 }
 
-// backoffSendTime returns the time at which a request is expected to be sent whose endpoints all
-// hold the router off until the given time. Unless another replica can be loaded in time, it is to
-// be refused as BackoffRequested.
+// backoffSendTime returns the time at which a request is expected to be sent whose endpoints have
+// all requested a backoff until the given time. Unless another replica can be loaded in time, it
+// is to be refused as BackoffRequested.
 func (s *State) backoffSendTime(r *request, engine *route.Engine, until time.Time) (time.Time, Reason) {
 	if engine == nil || r.Item.Model == "" || s.requestsUnknownModel(r) {
 		return until, BackoffRequested
--- a/core/relay/selfstatus.go
+++ b/core/relay/selfstatus.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// backoff keeps requests from an endpoint for the given time and a little longer, which differs
+// startBackoff keeps requests from an endpoint for the given time and a little longer, which differs
 // between routers. A shorter time does not end an earlier, longer one.
 func (s *State) startBackoff(e *endpoint, d time.Duration) {
 	spread := min(time.Duration(backoffSpread*float64(d)), maxBackoffSpread)
@@ -123,8 +123,8 @@
 	}
 }
 
-// backoffUntil returns the time at which the first of the endpoints that could serve the request
-// takes requests again, if all of them hold the router off.
+// backoffOfAllUntil returns the time at which the first of the endpoints that could serve the
+// request takes requests again, if all of them have requested a backoff.
 func (s *State) backoffOfAllUntil(r *request) (time.Time, bool) {
 	var at time.Time
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
