core/relay: bear silence longer at the only holder of a model

The rule beside it: a replica's silence is no reason to end an answer sooner. Ruled out: the change of the configuration itself, which has no part in it.

A stream whose model has no other holder is now given up after half of the time for which its caller bears a pause, so that one on a dead connection can still go on elsewhere. TestSilenceAtOnlyHolderIsBorneLonger fails without.

--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -499,3 +499,24 @@
 	router.arrive(streamRoute(), stock.Item{Model: "new"})
 	require.Equal(t, "e1", onlyEffect[Send](router).Instance)
 }
+
+// A stream at the only holder of its model must not be given up for a pause that a preempted
+// request has: it would have to wait for a load elsewhere, and be cut if that takes too long.
+func TestSilenceAtOnlyHolderIsBorneLonger(t *testing.T) {
+	for name, c := range map[string]struct {
+		holders []string
+		want    time.Duration
+	}{
+		"another holder": {[]string{"e1", "e2"}, 1200 * time.Millisecond},
+		"only holder":    {[]string{"e1"}, 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm))
+			for _, instance := range c.holders {
+				router.report(instance, withModels("a"))
+			}
+			router.arrive(patientRoute(), modelA)
+			assert.Equal(t, c.want, onlyEffect[Send](router).MaxGap)
+		})
+	}
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -299,6 +299,10 @@
 	if r.Route.Kind == route.Stream {
 		gap = max(silenceGapFactor*r.Route.MaxGap, minSilenceTimeout)
 	}
+	if r.Route.Kind == route.Stream && basis.Candidates <= 1 {
+		// A silent stream may only be preempted, and going on elsewhere takes a load.
+		gap = max(gap, r.callerPauseTimeout()/2)
+	}
 	return firstBy, gap
 }
 
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -89,13 +89,17 @@
 	if r.Route.Kind != route.Stream || r.partlyAnswered {
 		return r.Deadline
 	}
-	timeout := max(callerObjectiveFactor*r.Route.Objective, callerGapFactor*r.Route.MaxGap, minCallerTimeout)
-	if at := r.arrivedAt.Add(timeout); at.Before(r.Deadline) {
+	if at := r.arrivedAt.Add(r.callerPauseTimeout()); at.Before(r.Deadline) {
 		return at
 	}
 	return r.Deadline
 }
 
+// callerPauseTimeout returns how long the caller of a stream waits for the next event.
+func (r *request) callerPauseTimeout() time.Duration {
+	return max(callerObjectiveFactor*r.Route.Objective, callerGapFactor*r.Route.MaxGap, minCallerTimeout)
+}
+
 // keepLoadForRetryIfInTime keeps the pending load of a refused request for firstReplicaTimeout,
 // if the load would be done before the request's deadline. The caller would have disconnected
 // by the time the load is done, so it is told to retry at readyAt instead.
