core/swap: notice a crash during a load as soon as otherwise

An agent that polls its endpoint less often while a load goes on learns of a crash up to 0.3 s later; now no later than while requests run, 0.1 s at five routers.

--- a/core/swap/state.go
+++ b/core/swap/state.go
@@ -263,7 +263,7 @@
 	}
 	switch {
 	case s.pendingOrder != nil:
-		interval = s.pendingOrder.pollInterval(s.now)
+		interval = min(s.pendingOrder.pollInterval(s.now), s.runningPollInterval())
 	case slices.ContainsFunc(s.loadRequests(), func(req stock.LoadRequest) bool { return req.Waiting > 0 }):
 		interval = busyPollInterval
 	}
