--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -47,8 +46,9 @@
 	sequence int64
 	running  int
 	draining bool
-	// slow reports whether slowShare of the requests that arrive take slowFactor times as long.
-	slow bool
+	// slow reports whether some of the requests that arrive are slow; slowCount counts them all.
+	slow      bool
+	slowCount int
 }
 
 // startReplica starts a replica, which writes its entry at once and then each heartbeat.
@@ -130,9 +130,10 @@
 }
 
 const (
-	// slowShare of the requests take slowFactor times as long at a slow replica.
-	slowShare  = 0.45
-	slowFactor = 8
+	// At a slow replica, slowRequests of slowOf requests take slowFactor times as long.
+	slowRequests = 4
+	slowOf       = 9
+	slowFactor   = 8
 )
 
 func (r *replica) modelState() []map[string]any {
@@ -279,7 +280,10 @@
 	defer r.rec.run(id, r.spec.id, r.spec.service, req.URL.Path)()
 	r.mu.Lock()
 	work, gap, drops := r.spec.work, r.spec.gap, true
-	if r.slow && rand.Float64() < slowShare {
+	if r.slow {
+		r.slowCount++
+	}
+	if r.slow && (r.slowCount-1)%slowOf < slowRequests {
 		// Most replicas drop a request when its connection closes. This one goes on with its slow ones.
 		work, gap, drops = slowFactor*work, slowFactor*gap, false
 		r.rec.add("the run of %s at %s is slow", id, r.spec.id)
