--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -34,7 +35,7 @@
 func (c *client) send(path, model string, deadline time.Duration) call {
 	got := call{id: fmt.Sprintf("%016x", 0x1c41d07b00000000+lastID.Add(1)), router: c.router.name, path: path, sentAt: time.Now()}
 	body := strings.Repeat("x", 600)
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.router.front.String()+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+c.router.front.String()+path, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -56,7 +57,7 @@
 
 func (n *network) free() bool {
 	for p := range portCount {
-		l, err := net.Listen("tcp", netip.AddrPortFrom(netip.AddrFrom4([4]byte{n.prefix[0], n.prefix[1], n.prefix[2], 1}), n.port+uint16(p)).String())
+		l, err := listen(n.at(netip.AddrFrom4([4]byte{n.prefix[0], n.prefix[1], n.prefix[2], 1}), p))
 		if err != nil {
 			return false
 		}
@@ -166,7 +167,7 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(program, p.role, p.settings)
+	cmd := exec.CommandContext(context.Background(), program, p.role, p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "GOMAXPROCS=1", "GOGC=60"}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -220,11 +221,7 @@
 				ready++
 				continue
 			}
-			resp, err := http.Get("http://" + p.ready.String() + "/-/readiness")
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			if err == nil && resp.StatusCode == http.StatusOK {
+			if p.isReady() {
 				ready++
 			}
 		}
@@ -238,6 +235,26 @@
 	}
 }
 
+// isReady asks a router as the platform does.
+func (p *process) isReady() bool {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+p.ready.String()+"/-/readiness", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// listen listens at an address.
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(context.Background(), "tcp", addr.String())
+}
+
 // stop ends all processes and removes the temporary folder.
 func (f *fleet) stop() {
 	for _, p := range f.processes {
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -33,7 +34,7 @@
 
 // listen accepts connections until the listener is closed.
 func (k *link) listen() error {
-	l, err := net.Listen("tcp", k.at.String())
+	l, err := listen(k.at)
 	if err != nil {
 		return err
 	}
@@ -88,8 +89,9 @@
 	if err := syscall.Listen(fd, 0); err != nil {
 		return err
 	}
+	d := net.Dialer{Timeout: 20 * time.Millisecond}
 	for range 2 {
-		if c, err := net.DialTimeout("tcp", k.at.String(), 20*time.Millisecond); err == nil {
+		if c, err := d.DialContext(context.Background(), "tcp", k.at.String()); err == nil {
 			k.fill = append(k.fill, c)
 		}
 	}
@@ -116,7 +118,8 @@
 func (k *link) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	k.arrive()
-	up, err := net.Dial("tcp", k.to.String())
+	var d net.Dialer
+	up, err := d.DialContext(context.Background(), "tcp", k.to.String())
 	if err != nil {
 		return
 	}
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -54,7 +54,8 @@
 }
 
 func (r *record) line(format string, args ...any) {
-	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	// The record is best effort.
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // run notes the start of a run. The function that it returns notes its end.
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -53,7 +52,7 @@
 
 // startReplica starts a replica, which writes its entry at once and then each heartbeat.
 func startReplica(s *store, rec *record, spec replicaSpec) (*replica, error) {
-	l, err := net.Listen("tcp", spec.addr.String())
+	l, err := listen(spec.addr)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -53,7 +53,7 @@
 
 // serve answers clients at the address until the process ends.
 func (s *store) serve(addr netip.AddrPort) error {
-	l, err := net.Listen("tcp", addr.String())
+	l, err := listen(addr)
 	if err != nil {
 		return err
 	}
