--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -253,13 +254,24 @@
 		sleepUntil(restartedAt, time.Second)
 	}
 	time.Sleep(4 * time.Second)
+	ordersBefore := f.rec.orderCount()
 	ask(models[4:7])
 	time.Sleep(time.Second)
 	ask(models[7:9])
 	time.Sleep(time.Second)
+	if f.rec.orderCount() == ordersBefore {
+		return nil, errors.New("no orders after the restart of the agents")
+	}
 	return f.rec.lowerTokens(), nil
 }
 
+// orderCount returns the number of orders so far.
+func (r *record) orderCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.orders)
+}
+
 // lowerTokens returns the orders with a fencing token lower than one before at the same replica.
 func (r *record) lowerTokens() []string {
 	r.mu.Lock()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -89,6 +89,8 @@
 	cmd     *exec.Cmd
 	done    chan struct{}
 	stopped bool
+	// ownEnds is the number of times that the program ended without a signal of the case.
+	ownEnds int
 }
 
 // fleet is a small deployment.
@@ -176,15 +178,15 @@
 	}
 	p.rec.add("process %s starts: %s %s", p.name, program, p.role)
 	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.stopped = cmd, done, false
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
-		expected := p.stopped || p.cmd != cmd
-		p.mu.Unlock()
-		if !expected {
-			p.rec.add("process %s has ended: %v", p.name, err)
+		if !p.stopped {
+			p.ownEnds++
+			p.rec.add("process %s has ended by itself: %v", p.name, err)
 		}
+		p.mu.Unlock()
 		close(done)
 	}()
 	return nil
@@ -194,6 +196,7 @@
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stopped = p.stopped || sig == syscall.SIGTERM || sig == syscall.SIGKILL
 	p.rec.add("process %s gets signal %d (%s)", p.name, sig, sig)
 	_ = p.cmd.Process.Signal(sig)
 }
@@ -255,6 +258,19 @@
 	return lc.Listen(context.Background(), "tcp", addr.String())
 }
 
+// checkAlive returns an error if a process has ended by itself, so that the play says nothing.
+func (f *fleet) checkAlive() error {
+	for _, p := range f.processes {
+		p.mu.Lock()
+		n := p.ownEnds
+		p.mu.Unlock()
+		if n > 0 {
+			return fmt.Errorf("%s has ended by itself", p.name)
+		}
+	}
+	return nil
+}
+
 // stop ends all processes and removes the temporary folder.
 func (f *fleet) stop() {
 	for _, p := range f.processes {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -62,6 +63,12 @@
 	if err == nil {
 		broken, err = p(f, trouble)
 	}
+	if err == nil && len(broken) == 0 {
+		err = f.checkAlive()
+	}
+	if err == nil && rec.servedCount() == 0 {
+		err = errors.New("no request was served")
+	}
 	if err != nil {
 		rec.add("the case could not run: %v", err)
 		fmt.Println("the case could not run:", err)
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -89,3 +90,16 @@
 
 // since returns the time in seconds since the start of the play.
 func (r *record) since(t time.Time) float64 { return t.Sub(r.start).Seconds() }
+
+// servedCount returns the number of requests that were answered with success.
+func (r *record) servedCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, c := range r.calls {
+		if c.status == http.StatusOK && c.err == nil {
+			n++
+		}
+	}
+	return n
+}
