io/drain: serve requests on connections in the accept queue

Cause: a drain closed the listener at once. The kernel resets the connections that wait in its queue, with the requests on them. While most routers of a failure domain stop, the platform still opens connections to them.

Evidence: the routers have no line on these requests and read none without an outcome; the new test fails on the code before with "connection reset by peer".

Change: the listener's accept loop takes what is in the queue before it closes.

--- a/io/drain/drain.go
+++ b/io/drain/drain.go
@@ -23,6 +23,11 @@
 	closeMargin = 100 * time.Millisecond
 	// passInterval is the time between two passes over the connections.
 	passInterval = 10 * time.Millisecond
+	// acceptTimeout is how long a listener that is about to close waits for a connection in its
+	// queue, and maxQueued bounds how many it accepts. The kernel resets the connections that are
+	// left in the queue of a closed listener, with the requests on them.
+	acceptTimeout = 2 * time.Millisecond
+	maxQueued     = 4096
 )
 
 // Counts are numbers of connections that a drain has found without a request.
@@ -87,8 +92,8 @@
 	return nil
 }
 
-// Drain closes the listeners, and each connection once it has been without a request for
-// 100 ms. It returns when all connections have ended. Requests of which the first bytes have
+// Drain closes the listeners after it has accepted the connections in their queues, and each
+// connection once it has been without a request for 100 ms. It returns when all connections have ended. Requests of which the first bytes have
 // arrived are served, and their connections end with the answers. If connections are left at
 // the end of ctx, Drain returns the error of ctx; it may be called again then.
 func (s *Server) Drain(ctx context.Context) error {
@@ -150,8 +155,7 @@
 	defer s.mu.Unlock()
 	s.draining.Store(true)
 	for l := range s.listeners {
-		// It fails only for a listener that is closed already.
-		_ = l.Close()
+		l.endAccept()
 	}
 }
 
@@ -198,17 +202,59 @@
 type listener struct {
 	net.Listener
 	server *Server
+	// queued is the number of connections accepted since the start of the drain.
+	queued int
 }
 
-// Accept implements net.Listener. After the start of a drain it returns http.ErrServerClosed.
+// endAccept makes the call of Accept in progress, or the next one, close the listener once its
+// queue is empty. A listener without deadlines is closed at once.
+func (l *listener) endAccept() {
+	if d, ok := l.Listener.(deadliner); ok && d.SetDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	// It fails only for a listener that is closed already.
+	_ = l.Close()
+}
+
+// deadliner is a listener with a deadline for Accept.
+type deadliner interface {
+	SetDeadline(t time.Time) error
+}
+
+// Accept implements net.Listener. After the start of a drain it returns http.ErrServerClosed
+// when the connections in the queue have been accepted.
 func (l *listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
-	if err == nil {
-		return l.server.track(nc), nil
+	if err != nil && l.server.draining.Load() {
+		nc, err = l.acceptQueued()
+	}
+	if err != nil {
+		// net/http tells temporary errors by their type.
+		return nil, err
 	}
-	if l.server.draining.Load() {
-		return nil, http.ErrServerClosed
+	return l.server.track(nc), nil
+}
+
+// acceptQueued returns the next connection in the queue. If there is none, it closes the
+// listener and returns http.ErrServerClosed.
+func (l *listener) acceptQueued() (net.Conn, error) {
+	d, ok := l.Listener.(deadliner)
+	for ok && l.queued < maxQueued {
+		deadline := time.Now().Add(acceptTimeout)
+		if d.SetDeadline(deadline) != nil {
+			break
+		}
+		nc, err := l.Listener.Accept()
+		if err == nil {
+			l.queued++
+			return nc, nil
+		}
+		// A process that was held up may have met the deadline before it looked at the queue.
+		if time.Now().Before(deadline.Add(acceptTimeout)) {
+			break
+		}
 	}
-	// net/http tells temporary errors by their type.
-	return nil, err
+	// It fails only for a listener that is closed already.
+	_ = l.Close()
+	return nil, http.ErrServerClosed
 }
--- a/io/drain/drain_test.go
+++ b/io/drain/drain_test.go
@@ -23,10 +23,12 @@
 // testListener is a TCP listener that counts what its connections read and can delay their
 // reads.
 type testListener struct {
-	net.Listener
+	*net.TCPListener
 	closeOnce sync.Once
-	closed    chan struct{}
-	accepted  chan struct{}
+	// acceptGate delays Accept while it is locked.
+	acceptGate sync.Mutex
+	closed     chan struct{}
+	accepted   chan struct{}
 	// gate delays the reads that begin while it is locked, except those of one byte, with which
 	// net/http watches a caller during its request. atGate is the number of delayed reads.
 	gate   sync.Mutex
@@ -38,17 +40,19 @@
 }
 
 func (l *testListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	l.acceptGate.Lock()
+	defer l.acceptGate.Unlock()
+	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
 	l.accepted <- struct{}{}
-	return &testConn{TCPConn: c.(*net.TCPConn), l: l}, nil
+	return &testConn{TCPConn: c, l: l}, nil
 }
 
 func (l *testListener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.TCPListener.Close()
 }
 
 type testConn struct {
@@ -86,14 +90,26 @@
 // serve starts a server. The function that it returns begins to drain the server, and waits
 // for the end of the drain at the end of the test.
 func serve(t *testing.T, s *Server) (l *testListener, startDrain func()) {
+	t.Helper()
+	l = listen(t)
+	return l, serveOn(t, s, l)
+}
+
+// listen returns a listener on loopback.
+func listen(t *testing.T) *testListener {
 	t.Helper()
 	var lc net.ListenConfig
 	tcp, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l = &testListener{Listener: tcp, closed: make(chan struct{}), accepted: make(chan struct{}, 1000)}
+	return &testListener{TCPListener: tcp.(*net.TCPListener), closed: make(chan struct{}), accepted: make(chan struct{}, 1000)}
+}
+
+// serveOn is serve with a given listener.
+func serveOn(t *testing.T, s *Server, l net.Listener) (startDrain func()) {
+	t.Helper()
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
-	return l, func() {
+	return func() {
 		drained := make(chan error, 1)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -207,6 +223,32 @@
 	}
 }
 
+// Guards against a stop that closes its listener while requests wait on connections that it has not
+// accepted: the kernel resets them.
+func TestDrainServesRequestsInTheAcceptQueue(t *testing.T) {
+	const callers = 20
+	s := newServer(time.Minute, func(http.ResponseWriter, *http.Request) {})
+	l := listen(t)
+	l.acceptGate.Lock()
+	startDrain := serveOn(t, s, l)
+	clients := make([]*testClient, callers)
+	for i := range clients {
+		clients[i] = dial(t, l)
+		require.NoError(t, clients[i].send(testRequest))
+	}
+	startDrain()
+	require.Eventually(t, s.draining.Load, 5*time.Second, time.Millisecond)
+	// The drain passes over the listeners.
+	time.Sleep(5 * passInterval)
+	l.acceptGate.Unlock()
+	for _, c := range clients {
+		resp, err := c.receive()
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	<-l.closed
+}
+
 // Guards against a stop that loses requests that have been read. The callers send on idle
 // connections at the moment at which these are closed.
 func TestDrainBesideRequests(t *testing.T) {
