--- a/io/drain/conn.go
+++ b/io/drain/conn.go
@@ -28,8 +28,9 @@
 	idleSince time.Time
 	// interrupted reports whether endWait has set the read deadline of this wait.
 	interrupted bool
-	// closed and kept report how an interrupted wait ended.
-	closed, kept bool
+	// closed and kept report how an interrupted wait ended, unread whether bytes had arrived on the
+	// closed connection.
+	closed, kept, unread bool
 }
 
 // startWait notes that the connection waits for its next request.
@@ -113,6 +114,19 @@
 	if c.kept {
 		n.Kept++
 	}
+	if c.unread {
+		n.Unread++
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	if c.closed && conns.Peek(c.Conn) == conns.Readable {
+		c.unread = true
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // CloseWrite closes the sending side, as net/http does before it closes a connection with
--- a/io/drain/drain.go
+++ b/io/drain/drain.go
@@ -37,6 +37,8 @@
 	// Kept is the number of connections that were about to be closed when a request was found
 	// to have arrived.
 	Kept int
+	// Unread is the number of those in Closed on which bytes had arrived before they were closed.
+	Unread int
 }
 
 // Server is an http.Server that can be drained. Create it with New.
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -322,7 +322,7 @@
 // logConns logs what became of the callers' connections that had no request during the drain.
 func (r *Relay) logConns() {
 	n := r.callerServer.Counts()
-	r.log.Info().Int("closed", n.Closed).Int("kept-for-request", n.Kept).Msg("idle connections of callers ended")
+	r.log.Info().Int("closed", n.Closed).Int("kept-for-request", n.Kept).Int("unread", n.Unread).Msg("idle connections of callers ended")
 }
 
 // closeServers closes the servers with all their connections, as the end of the process
