io/conns: tell an endpoint that ends within an answer from a malformed answer

An endpoint that crashes within the head of its answer, or within the trailer, was taken for one that has sent nonsense: the parsers of net/http take a line without its end for a malformed line, so that relay.AttemptEnded.Cut was false and the crash was no evidence against the request or a part of its prompt. Callers saw nothing of it.

The connection now notes how its last read failed. TestClosedByPeerWithinAnswer covers each position.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -148,6 +148,8 @@
 	// inHead reports whether a head is read, left the number of bytes that it may still have.
 	inHead bool
 	left   int
+	// err is the error of the last read, if it failed.
+	err error
 }
 
 // Read implements io.Reader.
@@ -157,9 +159,16 @@
 	}
 	n, err := l.conn.Read(p)
 	l.left -= n
+	l.err = err
 	return n, err
 }
 
+// ClosedByPeer reports whether the last read has found the connection closed or reset by the endpoint. The
+// parsers of HTTP take a line without its end for a malformed one.
+func (c *Conn) ClosedByPeer() bool {
+	return errors.Is(c.limit.err, io.EOF) || errors.Is(c.limit.err, syscall.ECONNRESET)
+}
+
 // reusable reports whether an idle connection is open and has no data to read. Data
 // that arrives while no request is in flight belongs to no request.
 func (c *Conn) reusable() bool {
--- a/io/conns/pool_test.go
+++ b/io/conns/pool_test.go
@@ -154,3 +154,46 @@
 		assert.Equal(t, body, string(got))
 	}
 }
+
+// Guards against an endpoint that ends within an answer and is taken for one that has sent a malformed one,
+// so that its end is no evidence of a crash.
+func TestClosedByPeerWithinAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: C\r\n\r\n" +
+		"A;x=y\r\n0123456789\r\n0\r\nC: d\r\n\r\n"
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool()
+			l, addr := listen(t)
+			for cut := range len(answer) {
+				c, err := p.Get(t.Context(), addr, NoIdleLimit)
+				require.NoError(t, err)
+				peer, err := l.Accept()
+				require.NoError(t, err)
+				_, err = io.WriteString(peer, answer[:cut])
+				require.NoError(t, err)
+				if reset {
+					require.NoError(t, peer.(*net.TCPConn).SetLinger(0))
+				}
+				require.NoError(t, peer.Close())
+				resp, err := c.Read("GET")
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+				}
+				require.Error(t, err, "after %q", answer[:cut])
+				require.NotErrorIs(t, err, io.EOF)
+				assert.True(t, c.ClosedByPeer(), "after %q: %v", answer[:cut], err)
+				require.NoError(t, c.Close())
+			}
+		})
+	}
+}
+
+// A malformed answer on an open connection says nothing about its end.
+func TestMalformedAnswerIsNotClosedByPeer(t *testing.T) {
+	c, peer := connPair(t, NewPool())
+	_, err := io.WriteString(peer, "no answer at all\r\n\r\n")
+	require.NoError(t, err)
+	_, err = c.Read("GET")
+	require.Error(t, err)
+	assert.False(t, c.ClosedByPeer())
+}
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -162,7 +162,6 @@
 	err := x.tryEndpoint(ctx, send, &ended)
 	x.mayHaveRun = x.mayHaveRun || ended.Result == relay.Broken || ended.Result == relay.Failed
 	ended.LastEvent, ended.Version, ended.Answering = x.lastEventID, x.weightsVersion, x.headerSent
-	ended.Cut = isCut(err)
 	switch {
 	case errors.Is(err, errCallerGone):
 		ended.Result = relay.Abandoned
@@ -203,6 +202,7 @@
 	defer context.AfterFunc(x.d.attemptsCtx, c.Abort)()
 	x.setConn(c, send.Try)
 	keep, err := x.roundTrip(c, send, ended)
+	ended.Cut = err != nil && (isCut(err) || c.ClosedByPeer())
 	aborted := x.clearConn()
 	if stop() && !aborted && keep != (conns.IdleTimeout{}) {
 		x.d.pool.Put(c, keep)
