io/relayd: reset the connection of an HTTP/1.0 caller whose answer is cut off

A caller that speaks HTTP/1.0 got an answer that was cut off with an orderly close, which is the end of a whole answer in that protocol: a 200 with a short body. Callers that speak HTTP/1.1 get chunks or a length and could tell.

TestCutAnswerIsResetOverHTTP10 failed before for a stream and for an answer that is too long to be buffered (an end of the input where a reset is expected).

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -100,6 +100,23 @@
 	_ = c.Close()
 }
 
+// ResetOnClose makes Close reset a connection. It does nothing to a connection that is not one of the
+// operating system.
+func ResetOnClose(conn net.Conn) {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	// On failure Close still closes the connection, but without a reset.
+	_ = rc.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	})
+}
+
 // Get returns a pooled connection that is still open and has been idle for at most
 // maxIdle, or else opens a new one. Errors wrap ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*Conn, error) {
--- a/io/relayd/ending.go
+++ b/io/relayd/ending.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 
 	"chervilreach/core/relay"
+	"chervilreach/io/conns"
 	"chervilreach/io/guard"
 )
 
@@ -40,6 +42,10 @@
 // cutOff ends an answer whose beginning has been sent. It panics with http.ErrAbortHandler.
 func (x *exchange) cutOff(reason string) {
 	x.logOutcome(guard.Cut, reason)
+	if conn, ok := x.r.Context().Value(connKey{}).(net.Conn); ok && !x.r.ProtoAtLeast(1, 1) {
+		// Over HTTP/1.0 an orderly close is the end of a whole answer.
+		conns.ResetOnClose(conn)
+	}
 	panic(http.ErrAbortHandler)
 }
 
