--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -100,6 +100,23 @@
 	_ = c.Close()
 }
 
+// ResetOnClose makes Close reset a connection. It does nothing to a connection that is not one of the
+// operating system.
+func ResetOnClose(conn net.Conn) {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	// On failure Close still closes the connection, but without a reset.
+	_ = rc.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	})
+}
+
 // Get returns a pooled connection that is still open and has been idle for at most
 // maxIdle, or else opens a new one. Errors wrap ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*Conn, error) {
@@ -148,6 +165,8 @@
 	// inHead reports whether a head is read, left the number of bytes that it may still have.
 	inHead bool
 	left   int
+	// err is the error of the last read, if it failed.
+	err error
 }
 
 // Read implements io.Reader.
@@ -157,9 +176,16 @@
 	}
 	n, err := l.conn.Read(p)
 	l.left -= n
+	l.err = err
 	return n, err
 }
 
+// ClosedByPeer reports whether the last read has found the connection closed or reset by the endpoint. The
+// parsers of HTTP take a line without its end for a malformed one.
+func (c *Conn) ClosedByPeer() bool {
+	return errors.Is(c.limit.err, io.EOF) || errors.Is(c.limit.err, syscall.ECONNRESET)
+}
+
 // reusable reports whether an idle connection is open and has no data to read. Data
 // that arrives while no request is in flight belongs to no request.
 func (c *Conn) reusable() bool {
