platform, core/relay: entries of another writer name no endpoint

What callers saw: a value with only a service, an address and a state, written in place of an endpoint's entry, moved the living endpoint to the service that it named.

Cause: decodeEntry required 3 of the 8 fields that each endpoint writes and no ranges, and encoding/json takes names in any spelling and the last of several. The reducer applied each entry to the endpoint of its name, whatever it had known of the incarnation. With 1<<63-1 slots the size of an endpoint's queue overflows, so that it counts as full for good; 0.0.0.0 is the router's own host; with another `born` the requests of a living endpoint are broken off and its crash is reported.

A known endpoint whose entry is malformed, or contradicts its incarnation in service, address or software, gets no new requests until its own entry is back. Requests wait up to 1.5 s for that; those in progress go on, nothing is loaded elsewhere, and it counts neither as leaving nor as crashed. One log line for each value, a gauge and a counter.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -32,10 +32,11 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
+	decoder := plat.NewSnapshotDecoder(log.Logger)
 	store := plat.NewStore(cfg.Store.Address)
 	r := node.NewRelay(cfg, log, node.RelayPlatform{
 		Store: store, Versions: store, HeaderCodec: plat.HeaderCodec{}, EndpointsPrefix: plat.EndpointKeys, RoutesPrefix: plat.OperatorKeys,
-		Endpoints: plat.NewSnapshotDecoder(log.Logger).Endpoints, AgentAddr: plat.AgentAddress(cfg.Process.Wire), RoutesDocument: plat.ConfigDocument,
+		Endpoints: decoder.Endpoints, MalformedEntries: decoder.MalformedCount, AgentAddr: plat.AgentAddress(cfg.Process.Wire), RoutesDocument: plat.ConfigDocument,
 		DecodeRoutes: new(plat.RoutesDecoder).Decode, ReadyPath: plat.ReadyPath,
 	})
 	return runUntilSignal(cfg.Process.DrainTimeout, r, r.Failed())
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -88,6 +88,11 @@
 // canServe reports whether the endpoint is usable for the request, even if it is full at
 // the moment.
 func (s *State) canServe(e *endpoint, r *request) bool {
+	return e.doubt == nil && s.wouldServe(e, r)
+}
+
+// wouldServe is canServe but for a doubt about the endpoint's entry.
+func (s *State) wouldServe(e *endpoint, r *request) bool {
 	if e.Service != r.Service || e.Leaving || !r.fits(e) || slices.Contains(r.avoidedInstances, e.Instance) {
 		return false
 	}
--- /dev/null
+++ b/core/relay/doubt.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"slices"
+	"time"
+)
+
+// Other writers may replace an endpoint's entry. One that can't be read, or that contradicts what is
+// known of the same incarnation, names no endpoint to use: the endpoint gets no new requests until
+// there is one that can be believed. What is known of it is kept, its requests go on, and it counts
+// neither as leaving nor as crashed.
+
+// ownEntryTimeout is how long requests wait for an endpoint to write its entry again. Endpoints do so
+// about every second.
+const ownEntryTimeout = 1500 * time.Millisecond
+
+// entryDoubt is the state of an endpoint without an entry that can be believed.
+type entryDoubt struct {
+	// entry is the entry in the list.
+	entry EndpointEntry
+	// awaitUntil is the time until which requests wait for the endpoint's own entry.
+	awaitUntil time.Time
+}
+
+// EntryContradicted reports that an entry is not believed, for the log.
+type EntryContradicted struct {
+	Known, Listed EndpointEntry
+}
+
+// Kind implements event.Effect.
+func (EntryContradicted) Kind() string { return "relay-entry-contradicted" }
+
+// mustDoubt reports whether the new entry m of the endpoint can't be believed.
+func (e *endpoint) mustDoubt(m *EndpointEntry) bool {
+	return m.Malformed || !e.isNewIncarnation(*m) && m.contradicts(&e.EndpointEntry)
+}
+
+// doubtEntry keeps new requests from an endpoint whose new entry m can't be believed.
+func (s *State) doubtEntry(e *endpoint, m EndpointEntry) {
+	if e.doubt == nil {
+		e.doubt = &entryDoubt{awaitUntil: s.now.Add(ownEntryTimeout)}
+		s.emitWake(e.doubt.awaitUntil)
+	}
+	e.doubt.entry = m
+	if !m.Malformed {
+		s.emitCount("entries.contradicting")
+		s.emit(EntryContradicted{Known: e.EndpointEntry, Listed: m})
+	}
+}
+
+// awaitsOwnEntry reports whether an endpoint that could serve the request is likely to write its entry
+// again soon.
+func (s *State) awaitsOwnEntry(r *request) bool {
+	return slices.ContainsFunc(s.candidates(r.Service, r.Item.Model), func(e *endpoint) bool {
+		return e.doubt != nil && s.now.Before(e.doubt.awaitUntil) && s.wouldServe(e, r)
+	})
+}
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -73,6 +73,8 @@
 	tokensPerMS float64
 	// listedStock is the state of the endpoint's models according to the endpoint list.
 	listedStock stock.Report
+	// doubt is set while the list has no entry of the endpoint that can be believed.
+	doubt *entryDoubt
 	// lastDemand is the demand last sent to the agent; zero if the agent is not connected.
 	lastDemand stock.Demand
 	// demandedAt is the time at which it was sent.
@@ -124,6 +126,12 @@
 
 // sameEntry reports whether m is equal to the list entry that the endpoint has now.
 func (e *endpoint) sameEntry(m EndpointEntry) bool {
+	if e.doubt != nil {
+		return e.doubt.entry.equal(&m)
+	}
+	if m.Malformed {
+		return false
+	}
 	return e.Service == m.Service && e.Address == m.Address && e.FailureDomain == m.FailureDomain &&
 		e.Slots == m.Slots && e.Leaving == m.Leaving && e.HasModels == m.HasModels && e.Born == m.Born && e.Software == m.Software &&
 		slices.EqualFunc(e.listedStock.Models, m.Stock.Models, stock.LoadedModel.Equal) && e.listedStock.Copies.Equal(m.Stock.Copies)
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"chervilreach/core/origin"
@@ -229,6 +230,29 @@
 	// Stock is the listed state of the endpoint's models. It may be older than the
 	// agent's reports.
 	Stock stock.Report
+	// Malformed reports whether the entry names no endpoint, as another writer has replaced it. The
+	// other fields are those of the last valid entry.
+	Malformed bool
+}
+
+// contradicts reports whether the entry, of the same incarnation as known, differs in what an
+// incarnation never changes. Empty fields are unknown.
+func (m *EndpointEntry) contradicts(known *EndpointEntry) bool {
+	if m.Service != known.Service {
+		return true
+	}
+	if m.Born == 0 || m.Born != known.Born {
+		return false
+	}
+	return m.Address != known.Address || m.Software != known.Software && m.Software != "" && known.Software != ""
+}
+
+// equal reports whether the entries are equal.
+func (m *EndpointEntry) equal(o *EndpointEntry) bool {
+	return m.Instance == o.Instance && m.Service == o.Service && m.Address == o.Address && m.FailureDomain == o.FailureDomain &&
+		m.Slots == o.Slots && m.Leaving == o.Leaving && m.HasModels == o.HasModels && m.Born == o.Born && m.Software == o.Software &&
+		m.Malformed == o.Malformed && slices.EqualFunc(m.Stock.Models, o.Stock.Models, stock.LoadedModel.Equal) &&
+		m.Stock.Copies.Equal(o.Stock.Copies)
 }
 
 // EndpointsListed carries the platform's endpoint list, which replaces the previous list.
--- a/core/relay/loader.go
+++ b/core/relay/loader.go
@@ -46,7 +46,7 @@
 	avoidStore := key.item.Adapter != "" && s.hasReachableHolder(key)
 	storeBusy := len(s.storeLoads(key.service)) >= maxStoreLoads
 	for _, e := range list {
-		if !e.hasAgent || e.Leaving || e.Stock.Down || s.now.Before(e.self.backoffUntil) || e.Stock.Holds(key.item) || !key.fits(e) || slices.Contains(tried, e.Instance) {
+		if !e.hasAgent || e.Leaving || e.doubt != nil || e.Stock.Down || s.now.Before(e.self.backoffUntil) || e.Stock.Holds(key.item) || !key.fits(e) || slices.Contains(tried, e.Instance) {
 			continue
 		}
 		if (avoidStore || storeBusy && !isLoading(e, key.item.Model)) && s.needsStore(e, key.item) {
--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -70,7 +70,7 @@
 		// All endpoints are full. One of their requests is likely to end soon.
 		return s.now, ""
 	}
-	if s.awaitsListedHolder(r) {
+	if s.awaitsListedHolder(r) || s.awaitsOwnEntry(r) {
 		return s.now, ""
 	}
 	usable := slices.ContainsFunc(s.index.endpointsByService[r.Service], func(e *endpoint) bool { return !e.Leaving })
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -26,7 +26,13 @@
 	for _, m := range ev.List {
 		e := old[m.Instance]
 		delete(old, m.Instance)
-		if e == nil || !e.sameEntry(m) {
+		switch {
+		case e == nil && m.Malformed:
+			continue
+		case e != nil && e.sameEntry(m):
+		case e != nil && e.mustDoubt(&m):
+			s.doubtEntry(e, m)
+		default:
 			wasLeaving := e == nil || e.Leaving
 			changed = true
 			e = s.updateEntry(e, m)
@@ -125,6 +131,7 @@
 		e.self.leaving = s.hasLeft(m)
 	}
 	e.update(m)
+	e.doubt = nil
 	e.Leaving = e.Leaving || e.self.leaving
 	s.index.add(e)
 	s.index.addFormerHolders(e, before)
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -62,6 +62,8 @@
 	EndpointsPrefix, RoutesPrefix string
 	// Endpoints decodes the endpoints listed in a snapshot of the store.
 	Endpoints func(snapshot map[string][]byte) []relay.EndpointEntry
+	// MalformedEntries returns the number of malformed entries that Endpoints has seen so far.
+	MalformedEntries func() int64
 	// AgentAddr returns the address on which the agent of an endpoint listens. The address is
 	// invalid if the endpoint has no agent.
 	AgentAddr func(m relay.EndpointEntry) netip.AddrPort
@@ -82,14 +84,16 @@
 type Relay struct {
 	cfg *config.PlatformConfig
 	// reloaded holds the settings as of the last Reload.
-	reloaded    *config.PlatformConfig
-	platform    RelayPlatform
-	log         *logs.Log
-	daemon      *relayd.Daemon
-	registry    metrics.Registry
-	recorder    *line.Recorder
-	startedAt   time.Time
-	adminServer *http.Server
+	reloaded *config.PlatformConfig
+	platform RelayPlatform
+	log      *logs.Log
+	daemon   *relayd.Daemon
+	registry metrics.Registry
+	// malformedEntries is the number of malformed endpoint entries seen so far.
+	malformedEntries metrics.Gauge
+	recorder         *line.Recorder
+	startedAt        time.Time
+	adminServer      *http.Server
 	// endpoints watches the endpoint list, routes reads the routes when routesFeed asks for it.
 	endpoints, routes *mirror.Mirror
 	routesFeed        *feed.Feed
@@ -106,6 +110,7 @@
 	r := &Relay{cfg: cfg, reloaded: cfg, platform: platform, log: log, failed: make(chan error, 2)}
 	clock := &event.Clock{}
 	r.registry = metrics.NewRegistry()
+	r.malformedEntries = metrics.GetOrRegisterGauge("relay.entries.malformed", r.registry)
 	r.recorder = newPlatformRecorder(cfg, log, clock, r.registry)
 	pause, wait := cfg.Store.WatchTimes()
 	r.routesFeed = feed.New(feed.Options{
@@ -197,6 +202,7 @@
 // onEndpoints adopts the endpoints in a snapshot of the store.
 func (r *Relay) onEndpoints(s mirror.Snapshot) {
 	r.daemon.SetEndpoints(r.platform.Endpoints(s.Entries), s.Partial, s.ReadAt)
+	r.malformedEntries.Update(r.platform.MalformedEntries())
 }
 
 // onRoutes adopts the routes in a snapshot of the store. If they are malformed, the last valid ones
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -252,6 +252,8 @@
 		x.d.logBackoff(eff)
 	case relay.EndpointLeaving:
 		x.d.logLeaving(eff)
+	case relay.EntryContradicted:
+		x.d.logContradiction(eff)
 	case relay.Wait:
 		x.d.logWait(eff)
 	default:
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -144,3 +144,12 @@
 	d.log.Info().Str("endpoint", eff.Endpoint).Str("source", eff.Source).Bool("listed", eff.Listed).
 		Int64("age-ms", age.Milliseconds()).Msg("endpoint leaves")
 }
+
+// logContradiction logs that an entry of an endpoint is not believed.
+func (d *Daemon) logContradiction(eff relay.EntryContradicted) {
+	d.log.Warn().Str("endpoint", eff.Known.Instance).Int64("born", eff.Known.Born).
+		Str("service", eff.Known.Service).Str("listed-service", eff.Listed.Service).
+		Stringer("address", eff.Known.Address).Stringer("listed-address", eff.Listed.Address).
+		Str("software", eff.Known.Software).Str("listed-software", eff.Listed.Software).
+		Msg("endpoint entry contradicts the incarnation, endpoint not used")
+}
