core/relay: an instance name stays with its service

What callers could see: an entry of another writer that names another service and a new incarnation under the name of a listed endpoint moved it to that service, and requests ran at the wrong one.

Cause: only entries of the known incarnation were compared with what was known.

--- a/core/relay/doubt.go
+++ b/core/relay/doubt.go
@@ -30,9 +30,10 @@
 // Kind implements event.Effect.
 func (EntryContradicted) Kind() string { return "relay-entry-contradicted" }
 
-// mustDoubt reports whether the new entry m of the endpoint can't be believed.
+// mustDoubt reports whether the new entry m of the endpoint can't be believed. An instance name stays
+// with its service over all incarnations.
 func (e *endpoint) mustDoubt(m *EndpointEntry) bool {
-	return m.Malformed || !e.isNewIncarnation(*m) && m.contradicts(&e.EndpointEntry)
+	return m.Malformed || m.Service != e.Service || !e.isNewIncarnation(*m) && m.contradicts(&e.EndpointEntry)
 }
 
 // doubtEntry keeps new requests from an endpoint whose new entry m can't be believed.
