core/relay: resume streams by what the store has since they were resumed

Callers got streams that one version of the software had begun and another went on with (ORDER), if a router was out of step in a release: cut off from the store, standing still, or with a watch that had gone silent.

Cause: a router that neither began a stream itself nor finds it with the judges bound it to the only version that it knew, by its own list and by records of versions that it had read once. Both may be older than the stream. The judges that it asked were those of its old list, and agents were told of versions only by streams. A router with an old list also took a version that others had recorded out of the record.

Change: the record of versions is read again after a resuming request has arrived, one read for all that wait, beside the asking of the judges; a version begins streams only once it is recorded (or 1.5 s after it was listed, if the store can't be written). So the read has the version whatever the age of the router's list. While the store can't be read, agents decide: each connected one is told which versions serve, and a router without an answer of store or agents refuses the request as unknown-version, so that its caller tries another. Recorded versions are left in the record for as long as streams can be resumed. The line "origin" of the log has the versions and the age of the record.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -59,7 +59,7 @@
 	firstSeq uint64
 	// latest is the sequence number of the latest entry of each stream.
 	latest map[Stream]uint64
-	// versions has the time of the latest entry with each version, by service.
+	// versions has the time at which each version was last noted, by service.
 	versions map[string]map[string]time.Time
 }
 
@@ -76,10 +76,18 @@
 	m.prune(now)
 	m.entries = append(m.entries, entry{o, service, now})
 	m.latest[o.Stream] = m.LastSeq()
+	m.NoteVersion(now, service, o.Software)
+}
+
+// NoteVersion remembers that a version of a service's software can have begun streams.
+func (m *Memory) NoteVersion(now time.Time, service, software string) {
+	if software == "" {
+		return
+	}
 	if m.versions[service] == nil {
 		m.versions[service] = make(map[string]time.Time)
 	}
-	m.versions[service][o.Software] = now
+	m.versions[service][software] = now
 }
 
 // prune forgets origins that are too old or too many.
@@ -104,7 +112,7 @@
 	return m.entries[seq-m.firstSeq].Software, true
 }
 
-// Versions returns the versions that began the streams of a service within Lifetime, sorted.
+// Versions returns the versions of a service that were noted within Lifetime, sorted.
 func (m *Memory) Versions(now time.Time, service string) []string {
 	maps.DeleteFunc(m.versions[service], func(_ string, at time.Time) bool { return !now.Before(at.Add(Lifetime)) })
 	return slices.Sorted(maps.Keys(m.versions[service]))
--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -43,7 +43,7 @@
 	cachedInstance, cachedTokens := s.promptIndex.cachedTokens(r)
 	successors := s.versionSuccessors(r)
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
-		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) {
+		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) || s.awaitsRecord(e, r) {
 			continue
 		}
 		candidates++
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -103,6 +103,8 @@
 	// toldOrigins is the sequence number of the last origin of a stream that the agent was told; 0 if
 	// it was told none.
 	toldOrigins uint64
+	// toldVersions are the versions of each service's software that the agent was last told.
+	toldVersions map[string][]string
 	// objectedTo are the answered prompt parts that the agent was last told, objectedAt the time of it.
 	objectedTo []poison.Part
 	objectedAt time.Time
--- a/core/relay/follow.go
+++ b/core/relay/follow.go
@@ -106,7 +106,7 @@
 // unfollow replaces what the endpoint's agent has reported by the endpoint's list entry.
 // Reported cached weights are kept if the entry has none.
 func (s *State) unfollow(e *endpoint) {
-	e.hasAgent, e.lastDemand, e.toldCrashCount = false, stock.Demand{}, 0
+	e.hasAgent, e.lastDemand, e.toldCrashCount, e.toldVersions = false, stock.Demand{}, 0, nil
 	listedEntry := e.EndpointEntry
 	listedEntry.Stock = e.listedStock
 	s.updateStock(e, func() { e.update(listedEntry) })
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -170,6 +170,7 @@
 	s.unassignLoadsIfLeaving(e)
 	s.dispatchWaitingFor(e)
 	if first {
+		s.software.tellPending = true
 		s.informJudges()
 		s.askJudgesOfWaiting()
 	}
@@ -226,7 +227,7 @@
 		if e.hasAgent {
 			e.agentLostAt = s.now
 		}
-		e.hasAgent, e.toldCrashCount, e.toldOrigins = false, 0, 0
+		e.hasAgent, e.toldCrashCount, e.toldOrigins, e.toldVersions = false, 0, 0, nil
 		if e.Stock.Down {
 			// Only the agent can tell that the endpoint is back.
 			s.updateStock(e, func() { e.Stock = e.listedStock })
--- a/core/relay/software.go
+++ b/core/relay/software.go
@@ -68,7 +68,8 @@
 	Judge string
 	// Software is the version that began the stream; empty if the agent does not know.
 	Software string
-	// Versions are the versions of the service's software that began any stream that the agent knows.
+	// Versions are the versions of the service's software that can have begun a stream, as far as the
+	// agent knows.
 	Versions []string
 	// Failed reports whether the agent did not answer.
 	Failed bool
@@ -87,6 +88,11 @@
 	Software string
 	// Source is how the router knows.
 	Source string
+	// Versions are the versions that can have begun the stream, as far as the router and the agents know.
+	Versions []string
+	// ReadAt is when the router began to read the latest record of versions that it has from the store;
+	// zero if it has none.
+	ReadAt time.Time
 }
 
 // Kind implements event.Effect.
@@ -97,8 +103,11 @@
 
 // Sources of OriginFound, beside an endpoint whose agent has told.
 const (
-	sourceOwnMemory   = "own-memory"
-	sourceOnlyVersion = "only-version"
+	sourceOwnMemory = "own-memory"
+	// sourceOnlyVersion is the store, read since the request arrived; sourceAgentsVersion are agents, while
+	// the store can't be read.
+	sourceOnlyVersion   = "only-version"
+	sourceAgentsVersion = "only-version-of-agents"
 )
 
 // originLookup is the search for the version that began the stream of a request.
@@ -146,6 +155,7 @@
 		return
 	}
 	r.lookup = &originLookup{startedAt: s.now, asked: make(map[string]bool), versions: make(map[string]bool)}
+	s.software.readFor = s.now
 	s.askJudges(r)
 }
 
@@ -189,9 +199,13 @@
 
 // bindResuming ends the search for the version that a request needs.
 func (s *State) bindResuming(r *request, software, source string) {
+	found := OriginFound{ID: r.id, Software: software, Source: source, ReadAt: s.software.readAt}
+	if r.lookup != nil {
+		found.Versions = s.versionsWith(r.Service, r.lookup.versions)
+	}
 	r.lookup = nil
 	r.bindTo(software)
-	s.emit(OriginFound{ID: r.id, Software: software, Source: source})
+	s.emit(found)
 }
 
 // awaitsOrigin reports whether a request must wait because the version that it needs is not known yet.
@@ -202,17 +216,17 @@
 		return false
 	}
 	settleAt, endAt := l.startedAt.Add(originSettleTime), l.startedAt.Add(originTimeout)
-	if s.now.Before(endAt) && (l.pending > 0 || s.awaitsJudges(r, settleAt)) {
+	if s.now.Before(endAt) && (l.pending > 0 || s.awaitsJudges(r, settleAt) || s.awaitsRecords(l, settleAt)) {
 		if s.now.Before(settleAt) {
 			s.emitWake(settleAt)
 		}
 		s.emitWake(endAt)
 		return true
 	}
-	software, only := s.onlyVersion(r.Service, l.versions)
+	software, source := s.onlyVersion(r)
 	switch {
-	case only:
-		s.bindResuming(r, software, sourceOnlyVersion)
+	case source != "":
+		s.bindResuming(r, software, source)
 	case !l.askedAgain && s.now.Before(settleAt):
 		s.emitWake(settleAt)
 		return true
@@ -228,14 +242,19 @@
 }
 
 // awaitsJudges reports whether agents that may know the origin of a request's stream are likely to
-// connect soon, or whether what the store has of versions is still to be read.
+// connect soon.
 func (s *State) awaitsJudges(r *request, settleAt time.Time) bool {
-	judges := s.judges(r.Service)
-	unconnected := slices.ContainsFunc(judges, func(e *endpoint) bool { return !e.hasAgent })
-	if unconnected && (s.now.Before(settleAt) || !r.lookup.answered && s.mayOrderLoads(r.Service)) {
+	unconnected := slices.ContainsFunc(s.judges(r.Service), func(e *endpoint) bool { return !e.hasAgent })
+	return unconnected && (s.now.Before(settleAt) || !r.lookup.answered && s.mayOrderLoads(r.Service))
+}
+
+// awaitsRecords reports whether what the store has of versions is still to be read for a request. A
+// router that has never read it waits for longer, as agents may know less than the store.
+func (s *State) awaitsRecords(l *originLookup, settleAt time.Time) bool {
+	if !s.versionsKnown() {
 		return true
 	}
-	return !s.versionsKnown()
+	return s.now.Before(settleAt) && !s.recordsAreSince(l.startedAt) && !s.readHasFailed(l.startedAt)
 }
 
 // versionSuccessors returns the versions of the software that several holders of a stream's model have,
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -202,6 +202,7 @@
 	s.sendDueDemands()
 	s.reportOriginsIfDue()
 	s.checkVersionsIfDue()
+	s.tellVersionsIfDue()
 	return s.effects
 }
 
@@ -221,7 +222,7 @@
 		s.countTraffic(r)
 	}
 	if r.Route.Kind == route.Stream {
-		s.software.streamed[r.Service] = true
+		s.noteStreamed(r.Service)
 		if r.Resuming {
 			s.findOrigin(r)
 		}
--- a/core/swap/origins.go
+++ b/core/swap/origins.go
@@ -7,6 +7,8 @@
 type OriginsReported struct {
 	Service string
 	Origins []origin.Origin
+	// Versions are versions of the service's software that can have begun other streams.
+	Versions []string
 }
 
 // Kind implements event.Event.
@@ -34,8 +36,8 @@
 	Number uint64
 	// Software is empty if the agent does not know the stream.
 	Software string
-	// Versions are the versions of the service's software that began any stream that the agent knows,
-	// sorted.
+	// Versions are the versions of the service's software that can have begun a stream, as far as the
+	// agent knows, sorted.
 	Versions []string
 }
 
@@ -50,6 +52,9 @@
 	for _, o := range ev.Origins {
 		s.origins.Note(s.now, ev.Service, o)
 	}
+	for _, v := range ev.Versions {
+		s.origins.NoteVersion(s.now, ev.Service, v)
+	}
 }
 
 // handleOriginAsked answers which version began a stream.
--- a/io/relayd/origins.go
+++ b/io/relayd/origins.go
@@ -30,6 +30,9 @@
 	case relay.ReportOrigins:
 		body := wire.EncodeOrigins(eff.Service, eff.Origins)
 		go x.d.agents.tell(eff.Judge, "origins of streams", &wirepb.Frame{Body: &wirepb.Frame_StreamOrigins{StreamOrigins: body}})
+	case relay.TellVersions:
+		body := wire.EncodeVersions(eff.Service, eff.Versions)
+		go x.d.agents.tell(eff.Agent, "versions of software", &wirepb.Frame{Body: &wirepb.Frame_StreamOrigins{StreamOrigins: body}})
 	case relay.AskOrigin:
 		go x.d.agents.askOrigin(eff)
 	case relay.OriginFound:
@@ -112,6 +115,10 @@
 	if x == nil {
 		return
 	}
-	d.log.Info().Str("request", x.request.AttemptID).Str("resumes", x.resumes).Str("software", eff.Software).
-		Str("told-by", eff.Source).Int64("took-ms", time.Since(x.arrivedAt).Milliseconds()).Msg("origin")
+	line := d.log.Info().Str("request", x.request.AttemptID).Str("resumes", x.resumes).Str("software", eff.Software).
+		Str("told-by", eff.Source).Int64("took-ms", time.Since(x.arrivedAt).Milliseconds()).Strs("versions", eff.Versions)
+	if !eff.ReadAt.IsZero() {
+		line = line.Int64("versions-age-ms", time.Since(eff.ReadAt).Milliseconds())
+	}
+	line.Msg("origin")
 }
--- a/io/swapd/origins.go
+++ b/io/swapd/origins.go
@@ -11,7 +11,7 @@
 // whether the first frame is one of these.
 func (d *Daemon) serveOrigins(c *wire.Conn, s *wire.Stream, first *wirepb.Frame) bool {
 	if m := first.GetStreamOrigins(); m != nil {
-		d.loop.Post(swap.OriginsReported{Service: m.GetService(), Origins: wire.DecodeOrigins(m)})
+		d.loop.Post(swap.OriginsReported{Service: m.GetService(), Origins: wire.DecodeOrigins(m), Versions: wire.DecodeVersions(m)})
 		return true
 	}
 	if m := first.GetStreamOriginAsk(); m != nil {
--- a/io/wire/origin.go
+++ b/io/wire/origin.go
@@ -21,6 +21,24 @@
 	return m
 }
 
+// EncodeVersions returns the message for the versions of a service's software, without streams.
+func EncodeVersions(service string, versions []string) *wirepb.StreamOrigins {
+	m := &wirepb.StreamOrigins{Service: service}
+	for _, v := range versions {
+		m.Versions = append(m.Versions, &wirepb.VersionStreams{Software: v})
+	}
+	return m
+}
+
+// DecodeVersions returns the versions in a message, with and without streams.
+func DecodeVersions(m *wirepb.StreamOrigins) []string {
+	var versions []string
+	for _, v := range m.GetVersions() {
+		versions = append(versions, v.GetSoftware())
+	}
+	return versions
+}
+
 // DecodeOrigins returns the origins in a message. Their order is kept within each version only.
 func DecodeOrigins(m *wirepb.StreamOrigins) []origin.Origin {
 	var list []origin.Origin
