core/relay: read versions for a resumed stream only if one is listed

A router in a release read the record of versions for each stream that it asked agents about, though its own list had several: calls of the store that are priced, and up to 0.3 s of waiting if the store is slow. It reads only if it has listed one version; that also ends, at routers that started meanwhile, the time in which the record has a version that has ended. Agents are told only of versions that are listed, as they remember each for as long as streams can be resumed. TestKnownVersionsAreNotReadAgain fails before.

--- a/core/relay/outofstep.go
+++ b/core/relay/outofstep.go
@@ -21,7 +21,8 @@
 	versionsTellInterval = origin.Lifetime / 3
 )
 
-// TellVersions tells an agent which versions of a service's software can have begun streams.
+// TellVersions tells an agent which versions of a service's software serve. It is sent while several can
+// have begun streams.
 type TellVersions struct {
 	// Agent is the endpoint whose agent is told.
 	Agent    string
@@ -90,8 +91,9 @@
 	}
 }
 
-// tellVersionsIfDue tells the connected agents which versions of the services' software can have begun
-// streams, while these are several.
+// tellVersionsIfDue tells the connected agents which versions of the services' software are listed, while
+// several can have begun streams. Agents remember each for origin.Lifetime after it was last told, so
+// that one that has left must not be told again.
 func (s *State) tellVersionsIfDue() {
 	again := !s.now.Before(s.software.nextTellAt)
 	if !s.software.tellPending && !again {
@@ -105,7 +107,7 @@
 		if !s.hasSeveralVersions(service) {
 			continue
 		}
-		versions := slices.DeleteFunc(s.possibleVersions(service), func(v string) bool { return v == "" })
+		versions := slices.DeleteFunc(slices.Clone(s.software.listed[service]), func(v string) bool { return v == "" })
 		for _, e := range s.endpoints {
 			if !e.hasAgent || !again && slices.Equal(e.toldVersions[service], versions) {
 				continue
--- a/core/relay/outofstep_test.go
+++ b/core/relay/outofstep_test.go
@@ -138,6 +138,18 @@
 	}
 }
 
+// The store is not read for streams of a service that is known to have several versions.
+func TestKnownVersionsAreNotReadAgain(t *testing.T) {
+	router := newVersionsRouter(t, withSoftware("i-1", "v1"), withSoftware("i-2", "v1.1"))
+	router.arrive(streamRoute(), stock.Item{Model: "a"})
+	router.apply(record(1, "v1", "v1.1"))
+	router.advance(time.Second)
+	id := router.resume()
+	assert.Empty(t, effectsOf[ReadVersions](router))
+	router.judgesAnswer(id, OriginAnswered{Software: "v1"})
+	assert.Len(t, effectsOf[Send](router), 1)
+}
+
 // While the store fails, resumed streams do not wait for it, and it is not called for each.
 func TestFailingStoreHoldsUpNoResumedStream(t *testing.T) {
 	router := newOutOfStepRouter(t)
@@ -234,4 +246,21 @@
 	assert.Equal(t, "i-1", onlyEffect[TellVersions](router).Agent)
 	router.advance(versionsTellInterval)
 	assert.Len(t, effectsOf[TellVersions](router), 6, "agents forget")
+	// A version that has left is not told again, so that agents forget it when its streams have ended.
+	router.listEndpoints(withSoftware("i-6", "v1.1"))
+	assert.Equal(t, []string{"v1.1"}, onlyEffect[TellVersions](router).Versions)
+}
+
+// A router that has started after a version left reads the record again before it refuses streams for it.
+func TestRecordedVersionThatHasEndedIsReadAgain(t *testing.T) {
+	router := newVersionsRouter(t, withSoftware("i-1", "v1.1"), withSoftware("i-2", "v1.1"))
+	router.arrive(streamRoute(), stock.Item{Model: "a"})
+	router.apply(record(1, "v1", "v1.1"))
+	router.advance(time.Second)
+	id := router.resume()
+	require.Len(t, effectsOf[ReadVersions](router), 1)
+	router.judgesAnswer(id, OriginAnswered{})
+	require.Empty(t, effectsOf[Refuse](router))
+	router.apply(record(2, "v1.1"))
+	assert.Equal(t, "v1.1", onlyEffect[Send](router).Software)
 }
--- a/core/relay/software.go
+++ b/core/relay/software.go
@@ -155,7 +155,9 @@
 		return
 	}
 	r.lookup = &originLookup{startedAt: s.now, asked: make(map[string]bool), versions: make(map[string]bool)}
-	s.software.readFor = s.now
+	if !s.observesSeveralVersions(r.Service) {
+		s.software.readFor = s.now
+	}
 	s.askJudges(r)
 }
 
@@ -216,7 +218,7 @@
 		return false
 	}
 	settleAt, endAt := l.startedAt.Add(originSettleTime), l.startedAt.Add(originTimeout)
-	if s.now.Before(endAt) && (l.pending > 0 || s.awaitsJudges(r, settleAt) || s.awaitsRecords(l, settleAt)) {
+	if s.now.Before(endAt) && (l.pending > 0 || s.awaitsJudges(r, settleAt) || s.awaitsRecords(r, settleAt)) {
 		if s.now.Before(settleAt) {
 			s.emitWake(settleAt)
 		}
@@ -249,12 +251,14 @@
 }
 
 // awaitsRecords reports whether what the store has of versions is still to be read for a request. A
-// router that has never read it waits for longer, as agents may know less than the store.
-func (s *State) awaitsRecords(l *originLookup, settleAt time.Time) bool {
+// router that has never read it waits for longer, as agents may know less than the store. It tells
+// nothing if several versions have been listed.
+func (s *State) awaitsRecords(r *request, settleAt time.Time) bool {
 	if !s.versionsKnown() {
 		return true
 	}
-	return s.now.Before(settleAt) && !s.recordsAreSince(l.startedAt) && !s.readHasFailed(l.startedAt)
+	at := r.lookup.startedAt
+	return s.now.Before(settleAt) && !s.observesSeveralVersions(r.Service) && !s.recordsAreSince(at) && !s.readHasFailed(at)
 }
 
 // versionSuccessors returns the versions of the software that several holders of a stream's model have,
--- a/core/relay/versions.go
+++ b/core/relay/versions.go
@@ -225,6 +225,12 @@
 	return len(s.possibleVersions(service)) > 1
 }
 
+// observesSeveralVersions reports whether several versions of a service have been listed within
+// origin.Lifetime.
+func (s *State) observesSeveralVersions(service string) bool {
+	return len(s.software.listed[service]) > 1 || len(s.observedVersions(service)) > 1
+}
+
 // checkVersionsIfDue reads the records when the first stream arrives, and updates those that are
 // outdated.
 func (s *State) checkVersionsIfDue() {
