core/relay: ask for evidence of a silent run before an attempt is given up

Callers' streams were sent to a second endpoint while the first still worked on them: a pause of max(4 x gap, 1 s), or 2 x objective before the first event, ended the attempt by a read deadline, and the request went on at once. A safe request whose timer fired when no retry was allowed any more ended as 502.

Cause: silence was read as the end of a run. An endpoint that stands still for a second, is slow, or has preempted the run is as silent as one that has lost it.

Silence is an event now. The router asks the agent beside the endpoint, which reads a fresh report: a run is gone if it is not listed, nothing waits and each running request is listed, in two answers 250 ms apart (a request may have arrived without having been read). The attempt ends if the run is gone or the process has ended; if no connection can be opened while other endpoints are heard; and, shortly before its caller leaves, if the endpoint answers and the run makes no progress. In that case the request waits until the run is known to have ended. Otherwise the attempt goes on. A safe request is still retried after silence, but never ended for it.

TestSilentReplicaKeepsItsStream (pauses of 1, 1.5 and 2.5 s) and TestSilenceAloneDoesNotEndAnAttempt need events that did not exist. TestSilentReplicaIsAbandoned and TestDrippingReplicaIsAbandoned asserted that a silent endpoint which accepts connections is given up; they now have one whose process has ended, with the same bounds. TestSilenceAtOnlyHolderIsBorneLonger bounded a timer; it now checks that the attempt is not aborted at all.

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -17,9 +17,9 @@
 	Instance string
 	Address  netip.AddrPort
 	Deadline time.Time
-	// FirstBy is the deadline for the first part of the answer, MaxGap the longest allowed
-	// pause between the events of a stream. The attempt fails if either is exceeded.
-	// Zero means no limit.
+	// FirstBy is the time for the first part of the answer, MaxGap the longest pause between the
+	// events of a stream. If either is exceeded, AttemptSilent is to be posted, and the attempt goes
+	// on. Zero means no limit.
 	FirstBy time.Time
 	MaxGap  time.Duration
 	// Once reports whether the request is not idempotent: it must not be sent again if the
@@ -172,11 +172,13 @@
 
 // AbortAttempt closes the connection of an attempt whose endpoint is gone, as the
 // connection to a dead host does not end by itself. The attempt ends with the result
-// Broken. It has no effect if another attempt is in progress.
+// Broken. It has no effect if another attempt is in progress, or if the attempt is no longer silent.
 type AbortAttempt struct {
 	ID RequestID
 	// Try is the number of the attempt.
 	Try int
+	// Silence is the number of the silence for which the attempt is aborted; 0 if for another reason.
+	Silence int
 }
 
 // Kind implements event.Effect.
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -9,7 +9,7 @@
 	if r == nil || r.target == nil {
 		return
 	}
-	e := r.target
+	e, given := r.target, s.endSilence(r)
 	if ev.Result == Broken {
 		s.noteLostAttempt(r, e, ev)
 	}
@@ -24,6 +24,7 @@
 	case Done, Abandoned:
 		e.recordOutcome(false, s.now)
 		if ev.Result == Done {
+			e.answeredAt = s.now
 			s.noteAnswered(r, ev.PromptServed)
 		}
 		s.drop(r)
@@ -59,8 +60,10 @@
 			// The part is the cause, or the router has aborted the attempt for it.
 			break
 		}
-		e.recordOutcome(true, s.now)
-		s.retryOrFail(r, e)
+		if given != retriedSafe || s.othersHeard(e, r.sentAt) {
+			e.recordOutcome(true, s.now)
+		}
+		s.retryOrFail(r, e, given)
 	}
 	s.dispatchWaiting()
 }
@@ -107,8 +110,8 @@
 }
 
 // retryOrFail retries a request that may have run at e, or fails it if a retry is not
-// allowed.
-func (s *State) retryOrFail(r *request, e *endpoint) {
+// allowed. given is why the router has given the attempt up, if it has.
+func (s *State) retryOrFail(r *request, e *endpoint, given Decision) {
 	switch {
 	case !r.Route.Idempotent():
 		s.fail(r, MayHaveRun)
@@ -118,7 +121,10 @@
 		s.emitCount("budget-spent")
 		s.fail(r, NoRetryBudget)
 	default:
-		r.avoidedInstances = append(r.avoidedInstances, e.Instance)
+		if given != runEnded || s.hasOtherEndpoint(r, e) {
+			// An endpoint that answers and has lost one run can take the next.
+			r.avoidedInstances = append(r.avoidedInstances, e.Instance)
+		}
 		s.dispatch(r)
 	}
 }
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -61,6 +61,8 @@
 	// of other routers at the endpoint at the time of the last report.
 	hasSparseReports        bool
 	otherRouterRequestCount int
+	// answeredAt is the time at which the endpoint last began or ended an answer; zero if it never did.
+	answeredAt time.Time
 	// failureRate is a moving average, from 0 to 1.
 	failureRate float64
 	// ejectedUntil is the time until which the endpoint is used only if there is no other;
@@ -193,6 +195,7 @@
 // recordAnswerStart records that the prompt of r has been processed, and updates the prefill
 // speed.
 func (e *endpoint) recordAnswerStart(r *request, now time.Time) {
+	e.answeredAt = now
 	e.prefillTokens -= r.TokensIn
 	took := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
 	if r.TokensIn > 0 && took > 0 {
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -63,10 +63,13 @@
 // Routine implements event.Routine.
 func (RequestArrived) Routine() {}
 
-// PortChecked reports whether the host of an endpoint refuses connections, as asked by CheckPort.
+// PortChecked reports whether a connection to an endpoint can be opened, as asked by CheckPort.
 type PortChecked struct {
 	Instance string
-	Refused  bool
+	// Refused reports whether the endpoint's host refuses connections.
+	Refused bool
+	// Unreachable reports whether no connection could be opened for another reason.
+	Unreachable bool
 }
 
 // Kind implements event.Event.
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -168,6 +168,7 @@
 // handlePortChecked takes an endpoint whose host refuses connections for crashed, if the router has
 // lost attempts there.
 func (s *State) handlePortChecked(ev PortChecked) {
+	s.noteReachable(ev)
 	e := s.endpoint(ev.Instance)
 	if e == nil {
 		return
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -34,7 +34,9 @@
 	requests        map[RequestID]*request
 	// waiting holds the requests that are not at an endpoint, in the order in which they
 	// are served: by priority, then by deadline.
-	waiting      []*request
+	waiting []*request
+	// checked has the requests whose runs are checked.
+	checked      map[RequestID]*request
 	pendingLoads map[loadKey]*pendingLoad
 	// modelTraffic is the traffic of this router by model.
 	modelTraffic map[string]*traffic
@@ -128,6 +130,10 @@
 	sentSoftware string
 	// lookup is the search for software; nil if there is none.
 	lookup *originLookup
+	// silence is the silence of the attempt in progress; nil if there is none.
+	silence *silence
+	// ending is the check of a run that the router has given up and that may go on; nil if there is none.
+	ending *runCheck
 	// joinedLoad is the load that the request waits for; zero if there is none.
 	joinedLoad loadKey
 }
@@ -137,6 +143,7 @@
 	return &State{
 		cfg:             cfg,
 		requests:        make(map[RequestID]*request),
+		checked:         make(map[RequestID]*request),
 		pendingLoads:    make(map[loadKey]*pendingLoad),
 		modelTraffic:    make(map[string]*traffic),
 		promptIndex:     newPromptIndex(),
@@ -174,6 +181,12 @@
 		s.handleLimitObserved(ev)
 	case PermitAnswered:
 		s.handlePermitAnswered(ev)
+	case AttemptSilent:
+		s.handleAttemptSilent(ev)
+	case AttemptResumed:
+		s.handleAttemptResumed(ev)
+	case RunAnswered:
+		s.handleRunAnswered(ev)
 	case OriginAnswered:
 		s.handleOriginAnswered(ev)
 	case VersionsRead:
@@ -246,7 +259,7 @@
 		s.refuseOrFail(r, UnknownModel, s.now.Add(unknownModelRetryDelay))
 		return
 	}
-	if s.awaitsOrigin(r) {
+	if s.awaitsRunEnd(r) || s.awaitsOrigin(r) {
 		s.addWaiting(r)
 		s.emitWake(r.Deadline)
 		return
@@ -308,7 +321,7 @@
 		s.retryBudget.countRetry(s.now, r.Service)
 	}
 	s.promptIndex.addParts(r, e.Instance)
-	firstBy, maxGap := s.attemptTimeouts(r, basis)
+	firstBy, maxGap := s.silenceLimits(r)
 	s.emit(Send{
 		FirstBy: firstBy, MaxGap: maxGap, Once: !r.Route.Idempotent(),
 		ID: r.id, Try: r.attemptCount, Instance: e.Instance, Address: e.Address, Deadline: r.Deadline,
@@ -317,29 +330,6 @@
 	})
 }
 
-// attemptTimeouts returns the deadline of an attempt for the first part of the answer, and the
-// longest allowed pause between two events of a stream; zero means no limit. An attempt has
-// limits only if the request may be retried, and a deadline for the first part only if there
-// is another candidate.
-func (s *State) attemptTimeouts(r *request, basis Basis) (time.Time, time.Duration) {
-	if !r.Route.Idempotent() || r.possibleRunCount+1 >= r.Route.MaxAttempts || !s.retryBudget.allowsRetry(s.now, r.Service) {
-		return time.Time{}, 0
-	}
-	var firstBy time.Time
-	if basis.Candidates > 1 {
-		firstBy = s.now.Add(max(firstEventObjectiveFactor*r.Route.Objective, minFirstEventTimeout))
-	}
-	var gap time.Duration
-	if r.Route.Kind == route.Stream {
-		gap = max(silenceGapFactor*r.Route.MaxGap, minSilenceTimeout)
-	}
-	if r.Route.Kind == route.Stream && basis.Candidates <= 1 {
-		// A silent stream may only be preempted, and going on elsewhere takes a load.
-		gap = max(gap, r.callerPauseTimeout()/2)
-	}
-	return firstBy, gap
-}
-
 // handleRoutesAdopted replaces the routing table unless the current one is as new.
 func (s *State) handleRoutesAdopted(ev RoutesAdopted) {
 	if s.table == nil || ev.Table.Version > s.table.Version {
@@ -382,6 +372,7 @@
 func (s *State) drop(r *request) {
 	s.stopWaiting(r)
 	delete(s.requests, r.id)
+	delete(s.checked, r.id)
 }
 
 // handleTick removes unused loads and dispatches waiting requests.
@@ -389,5 +380,6 @@
 	for _, load := range s.pendingLoads {
 		s.dropLoadIfUnused(load)
 	}
+	s.checkRuns()
 	s.dispatchWaiting()
 }
--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -22,17 +22,17 @@
 	// avoidedRetryDelay is the pause before a request is sent again to endpoints that have
 	// all rejected it: about the time in which a full engine frees a slot.
 	avoidedRetryDelay = 100 * time.Millisecond
-	// firstEventObjectiveFactor and minFirstEventTimeout limit the time until an answer
-	// begins. An attempt is given up after this multiple of the route's latency objective
-	// (route.Route.Objective), but not before the minimum. Callers disconnect after about
-	// four objectives.
-	firstEventObjectiveFactor = 2
-	minFirstEventTimeout      = 800 * time.Millisecond
-	// silenceGapFactor and minSilenceTimeout limit the pauses in a stream. An attempt is
-	// given up after a pause of this multiple of route.Route.MaxGap, but not before the
-	// minimum. Callers disconnect after a pause of about eight times MaxGap.
-	silenceGapFactor  = 4
-	minSilenceTimeout = time.Second
+	// safeObjectiveFactor and minSafeTimeout limit the time until a plain request that may run twice is
+	// sent to another endpoint: this multiple of the route's latency objective
+	// (route.Route.Objective), but not less than the minimum.
+	safeObjectiveFactor = 2
+	minSafeTimeout      = 800 * time.Millisecond
+	// silenceObjectiveDivisor, silenceGapFactor and minSilence limit the time until a stream is taken
+	// for silent: this part of the route's latency objective before its first event, this multiple of
+	// route.Route.MaxGap after an event, but not less than the minimum.
+	silenceObjectiveDivisor = 2
+	silenceGapFactor        = 2
+	minSilence              = 500 * time.Millisecond
 	// callerObjectiveFactor, callerGapFactor and minCallerTimeout define how long callers wait
 	// for the first event of a stream before they disconnect: the longest of
 	// callerObjectiveFactor times the route's latency objective (route.Route.Objective),
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -255,7 +255,7 @@
 	case relay.Wait:
 		x.d.logWait(eff)
 	default:
-		if !x.doOrigins(eff) {
+		if !x.doOrigins(eff) && !x.doSilence(eff) {
 			x.doPoison(eff)
 		}
 	}
@@ -279,7 +279,7 @@
 	x := d.exchanges[eff.ID]
 	d.mu.Unlock()
 	if x != nil {
-		x.abortAttempt(eff.Try)
+		x.abortAttempt(eff)
 	}
 }
 
--- a/io/relayd/forward.go
+++ b/io/relayd/forward.go
@@ -16,7 +16,7 @@
 // connection can't be used again.
 func (x *exchange) forwardAnswer(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
-		hasEvents, err := x.forwardStream(c, send, resp, info)
+		hasEvents, err := x.forwardStream(send, resp, info)
 		if err != nil {
 			return err
 		}
--- a/io/relayd/poison.go
+++ b/io/relayd/poison.go
@@ -105,33 +105,34 @@
 	firstPortCheckDelay, secondPortCheckDelay = 5 * time.Millisecond, 100 * time.Millisecond
 )
 
-// checkPort reports to the reducer whether the host of an endpoint refuses connections.
+// checkPort reports to the reducer whether a connection to an endpoint can be opened.
 func (d *Daemon) checkPort(ctx context.Context, eff relay.CheckPort) {
-	refused := false
+	var refused, reached bool
 	for _, delay := range []time.Duration{firstPortCheckDelay, secondPortCheckDelay} {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(delay):
 		}
-		if refused = refusesConnections(ctx, eff.Address); refused {
+		err := tryToConnect(ctx, eff.Address)
+		reached = reached || err == nil
+		if refused = errors.Is(err, syscall.ECONNREFUSED); refused {
 			break
 		}
 	}
-	d.loop.Post(relay.PortChecked{Instance: eff.Instance, Refused: refused})
+	d.loop.Post(relay.PortChecked{Instance: eff.Instance, Refused: refused, Unreachable: !refused && !reached})
 }
 
-// refusesConnections reports whether a connection to the address is refused. Other failures don't
-// tell that nothing listens there.
-func refusesConnections(ctx context.Context, addr netip.AddrPort) bool {
+// tryToConnect opens a connection to the address and closes it.
+func tryToConnect(ctx context.Context, addr netip.AddrPort) error {
 	dialer := net.Dialer{Timeout: portCheckTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	// The connection has served its purpose.
 	_ = conn.Close()
-	return false
+	return nil
 }
 
 // logPartRefused logs that a request is refused for a conviction of it or of a part of its prompt.
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -44,6 +44,10 @@
 	// Observe returns a snapshot of the endpoint. Its Report.Instance is empty; Identify
 	// returns the name.
 	Observe(ctx context.Context) (swap.Snapshot, error)
+	// Runs returns the runs that the endpoint reports.
+	Runs(ctx context.Context) (stock.Runs, error)
+	// Reach opens a new connection to the endpoint and closes it.
+	Reach(ctx context.Context) error
 	// SendOrder sends an order and returns the endpoint's answer to it. With an error the
 	// answer is valid too; it is swap.Unanswered if none was received.
 	SendOrder(ctx context.Context, o swap.Order) (swap.Answer, error)
@@ -96,6 +100,7 @@
 	permitAsks map[uint64]chan swap.PermitAnswered
 	// originAsks is the same for asks for the origin of a stream.
 	originAsks map[uint64]chan swap.OriginAnswered
+	runs       runsReader
 }
 
 // New returns a daemon. Run must be called to start it.
@@ -139,8 +144,8 @@
 
 // Serve implements wire.Handler. The first frame determines the use of the stream: a hello, a
 // request for the routes, the limit of an endpoint, an ask for a permit, a report on prompt parts
-// that crash endpoints, origins of streams or an ask for one, or the exchange of demands and reports with a router.
-func (d *Daemon) Serve(_ context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
+// that crash endpoints, origins of streams or an ask for one, an ask for a run, or the exchange of demands and reports with a router.
+func (d *Daemon) Serve(ctx context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
 	defer func() { _ = s.Close() }()
 	if first.GetHello() != nil {
 		d.serveHello(s)
@@ -162,6 +167,10 @@
 		d.answerPermitAsk(c, s, ask)
 		return
 	}
+	if ask := first.GetRunAsk(); ask != nil {
+		d.answerRunAsk(ctx, s, ask)
+		return
+	}
 	if d.serveOrigins(c, s, first) || first.GetDemand() == nil {
 		return
 	}
--- a/io/swapd/poison_test.go
+++ b/io/swapd/poison_test.go
@@ -12,6 +12,7 @@
 
 	"chervilreach/core/event"
 	"chervilreach/core/poison"
+	"chervilreach/core/stock"
 	"chervilreach/core/swap"
 	"chervilreach/io/line"
 )
@@ -25,6 +26,8 @@
 type idleEndpoint struct{}
 
 func (idleEndpoint) Identify(context.Context) (string, error)       { return "i-1", nil }
+func (idleEndpoint) Runs(context.Context) (stock.Runs, error)       { return stock.Runs{}, nil }
+func (idleEndpoint) Reach(context.Context) error                    { return nil }
 func (idleEndpoint) Observe(context.Context) (swap.Snapshot, error) { return swap.Snapshot{}, nil }
 func (idleEndpoint) SendOrder(context.Context, swap.Order) (swap.Answer, error) {
 	return swap.Unanswered, nil
