--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -288,7 +288,7 @@
 		return keepAfterDiscard(c, resp, keep)
 	}
 	ended.HeadReceived = true
-	if err := x.forwardAnswer(c, send, resp, info, ended); err != nil {
+	if err := x.forwardAnswer(send, resp, info, ended); err != nil {
 		return conns.IdleTimeout{}, err
 	}
 	return keep, nil
--- a/io/relayd/forward.go
+++ b/io/relayd/forward.go
@@ -14,7 +14,7 @@
 // answers are read completely first. A server error is not forwarded but stored in
 // x.failedAnswer, as the reducer decides whether to retry. An error means that the
 // connection can't be used again.
-func (x *exchange) forwardAnswer(c *conns.Conn, send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
+func (x *exchange) forwardAnswer(send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
 	if x.route.Kind == route.Stream && resp.StatusCode == http.StatusOK {
 		hasEvents, err := x.forwardStream(send, resp, info)
 		if err != nil {
