io/mirror: drop entries at once that were removed around a cut

Cause: entries that disappear around an outage are retained for their writers, as leases may have expired in it. A router can't tell its own cut from an outage of the store, so that it retained entries which their writers had removed, too. Each read that lacked the key set the time anew, up to 2.2 s from the end of the outage, and the pause between two watches was slept before the end of that time was looked at.

Change: if at least half of the entries from before an outage are in the store still, without having been created anew, leases have not expired in it, and what is missing is dropped at once. Else it is retained until restoreWindow after the end of the outage, a time that is set once and that also ends a pause. The time of 1.5 s from a removal is no longer needed for that; the test of fault sequences keeps it as its bound.

--- a/io/mirror/fault_test.go
+++ b/io/mirror/fault_test.go
@@ -175,6 +175,9 @@
 	}
 }
 
+// maxRetention bounds how long removed entries stay beyond maxStaleness.
+const maxRetention = 1500 * time.Millisecond
+
 // After any sequence of faults the mirror has all entries of the store within
 // maxStaleness. Removed entries may stay for another maxRetention, as their writers
 // may write them again.
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -3,8 +3,10 @@
 // compaction of its history and leases that expire during an outage.
 //
 // An outage is a period in which the store does not answer. The writer of an entry is the
-// process that put it there with a lease. As leases expire during an outage, an entry that
-// disappears around one is retained for a while, so that its writer can write it again.
+// process that put it there with a lease. As leases expire during an outage, entries that
+// disappear around one are retained for a while, so that their writers can write them again. If
+// most entries have survived it, only this process could not reach the store, and those that are
+// missing have been removed by their writers.
 package mirror
 
 import (
@@ -54,9 +56,6 @@
 	maxRereadInterval = 8 * time.Second
 	// watchingCheckInterval is how often a mirror that does not watch checks whether it must.
 	watchingCheckInterval = 250 * time.Millisecond
-	// maxRetention bounds how long a removed entry is kept after an outage. It is
-	// shorter than the time within which requests to a removed endpoint must stop.
-	maxRetention = 1500 * time.Millisecond
 )
 
 // Item is a key with its value. A nil value marks a removed key.
@@ -65,6 +64,9 @@
 	Value []byte
 	// Revision is the revision of the store that last changed the key.
 	Revision int64
+	// CreateRevision is the revision at which the key was created; 0 if unknown. It is higher if the
+	// key was removed and written again.
+	CreateRevision int64
 }
 
 // Page is a consecutive part of the keys under a prefix, in key order.
@@ -142,8 +144,11 @@
 	// retained holds the keys that were removed around an outage and that their
 	// writers may write again, with the time at which the entry is dropped.
 	retained map[string]time.Time
-	// revisions holds the revision of each key in entries.
-	revisions map[string]int64
+	// revisions holds the revision of each key in entries, creations a number that stays the same
+	// until the key is removed.
+	revisions, creations map[string]int64
+	// beforeOutage are the creations at the start of the last outage.
+	beforeOutage map[string]int64
 	// cursor is the revision after which the next watch starts; 0 means that a full
 	// read is due.
 	cursor int64
@@ -196,7 +201,7 @@
 func New(opts Options) *Mirror {
 	return &Mirror{
 		opts: opts, entries: make(map[string][]byte), retained: make(map[string]time.Time),
-		revisions: make(map[string]int64), refresh: make(chan struct{}, 1),
+		revisions: make(map[string]int64), creations: make(map[string]int64), refresh: make(chan struct{}, 1),
 	}
 }
 
@@ -234,13 +239,26 @@
 	}
 }
 
-// sleep waits for the pause or until ctx ends.
+// sleep waits for the pause or until ctx ends. Retained entries that expire meanwhile are dropped.
 func (m *Mirror) sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	end := time.Now().Add(pause)
+	for {
+		next := end
+		if at, ok := m.nextExpiry(); ok && at.Before(end) {
+			next = at
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		m.expireAndNotify(now)
+		if !now.Before(end) {
+			return
+		}
 	}
 }
 
@@ -412,6 +430,7 @@
 func (m *Mirror) apply(items []Item) bool {
 	now := time.Now()
 	changed := false
+	removed := make(map[string]bool)
 	for _, it := range items {
 		if it.Revision < m.revisions[it.Key] {
 			// A page or watch may return an older state than one applied before.
@@ -422,6 +441,8 @@
 		m.revisions[it.Key] = it.Revision
 		if it.Value != nil {
 			delete(m.retained, it.Key)
+			delete(removed, it.Key)
+			m.noteCreation(it)
 			changed = changed || !bytes.Equal(m.entries[it.Key], it.Value)
 			m.entries[it.Key] = it.Value
 			continue
@@ -430,14 +451,9 @@
 			delete(m.revisions, it.Key)
 			continue
 		}
-		if until := m.retainUntil(now); now.Before(until) {
-			m.retained[it.Key] = until
-			continue
-		}
-		delete(m.entries, it.Key)
-		delete(m.revisions, it.Key)
-		changed = true
+		removed[it.Key] = true
 	}
+	changed = m.remove(removed, now) || changed
 	changed = m.removeExpired(now) || changed
 	if changed {
 		m.notify()
@@ -451,9 +467,7 @@
 	changed := false
 	for key, at := range m.retained {
 		if !now.Before(at) {
-			delete(m.retained, key)
-			delete(m.entries, key)
-			delete(m.revisions, key)
+			m.drop(key)
 			changed = true
 		}
 	}
@@ -473,20 +487,6 @@
 	m.opts.OnChange(Snapshot{Entries: maps.Clone(m.entries), Partial: !m.fullReadDone, ReadAt: m.readAt, Revision: m.cursor})
 }
 
-// retainUntil returns until when an entry that is removed now is retained for its
-// writer to write it again. The time is not after now if restoreWindow has passed
-// since the last outage, and zero if there was none.
-func (m *Mirror) retainUntil(now time.Time) time.Time {
-	if m.lastOutageEnd.IsZero() {
-		return time.Time{}
-	}
-	until := m.lastOutageEnd.Add(restoreWindow)
-	if limit := now.Add(maxRetention); limit.Before(until) && now.Before(until) {
-		return limit
-	}
-	return until
-}
-
 // nextExpiry returns when the next retained entry expires, or false if there is
 // none.
 func (m *Mirror) nextExpiry() (time.Time, bool) {
@@ -505,6 +505,7 @@
 		return
 	}
 	m.outageStart = time.Now()
+	m.beforeOutage = maps.Clone(m.creations)
 	m.opts.Log.Warn().Err(err).Str("dependency", "store").Str("prefix", m.opts.Prefix).Msg("dependency lost")
 }
 
