soak: pauses of sound replicas

No run of the soak had replicas that fall silent and go on. One replica, one connection, or all replicas of a service now pause for 0.5 to 2.5 s, also while a router stops, beside a change of routes and before the end of a drain. What a replica was working on when it paused must end with its whole answer, and a stream must not go on elsewhere beside it, unless the deadline passed, the router was killed or at the end of its stop, the replica crashed or its link had a fault.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -21,6 +21,7 @@
 	Routers       int           `long:"routers" value-name:"N" default:"3" description:"number of routers"`
 	ModelReplicas int           `long:"sides" value-name:"N" default:"4" description:"number of model replicas, each with an agent"`
 	Callers       int           `long:"callers" value-name:"N" default:"16" description:"number of concurrent callers"`
+	OnlyPauses    bool          `long:"only-pauses" description:"inject only pauses of replicas, stops of routers and changes of routes beside them"`
 	Dir           string        `long:"dir" value-name:"FOLDER" description:"directory for logs and settings; a new temporary one if left out"`
 }
 
@@ -66,5 +67,6 @@
 	}
 	return soak.Run(context.Background(), soak.Options{
 		Bin: bin, Dir: dir, Seed: seed, FaultDuration: c.FaultDuration, RouterCount: c.Routers, ModelReplicaCount: c.ModelReplicas, CallerCount: c.Callers,
+		OnlyPauses: c.OnlyPauses,
 	})
 }
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -55,7 +55,8 @@
 			from := run.StartedAt.Add(-limitGrace)
 			router := routerOf[run.AttemptID]
 			if run.Instance != p.instance || from.Before(p.from) || run.StartedAt.After(p.to) ||
-				router == nil || router.disturbedBetween(from, run.StartedAt) || p.replica.linkFaultBetween(from, run.StartedAt) {
+				router == nil || router.disturbedBetween(from, run.StartedAt) || p.replica.linkFaultBetween(from, run.StartedAt) ||
+				h.pausedBetween(p.instance, from, run.StartedAt) {
 				continue
 			}
 			starts = append(starts, run.StartedAt)
--- a/soak/prompts.go
+++ b/soak/prompts.go
@@ -126,14 +126,14 @@
 }
 
 // isExcused reports whether the arrival of a request does not count: its router was disturbed, or
-// it was sent before the bound and the link to the replica may have delayed it.
+// it was sent before the bound and the link to the replica, or its silence, may have delayed it.
 func (h *harness) isExcused(o outcome, a mock.Arrival, bound time.Time) bool {
 	if h.fleet.router(o.router).disturbedBetween(a.At.Add(-crashBoundDelay), a.At) {
 		return true
 	}
-	return o.sentAt.Before(bound) && slices.ContainsFunc(h.fleet.replicas, func(r *replica) bool {
+	return o.sentAt.Before(bound) && (h.pausedBetween(a.Instance, o.sentAt, a.At) || slices.ContainsFunc(h.fleet.replicas, func(r *replica) bool {
 		return r.Addr() == a.Addr && r.linkFaultBetween(o.sentAt, a.At)
-	})
+	}))
 }
 
 // bound returns the time after which requests with the part that caused the crashes are bounded;
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,6 +53,8 @@
 	ModelReplicaCount int
 	// Callers is the number of callers that send requests at the same time.
 	CallerCount int
+	// OnlyPauses leaves out all faults but the pauses of replicas and what they coincide with.
+	OnlyPauses bool
 }
 
 // Report is the result of a run.
@@ -165,6 +167,12 @@
 	ctx, cancel := context.WithTimeout(ctx, h.opts.FaultDuration)
 	defer cancel()
 	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { h.pauseReplicas(ctx, rand.New(rand.NewPCG(h.opts.Seed, 10))) })
+	if h.opts.OnlyPauses {
+		wg.Go(func() { h.pauseReplicas(ctx, rand.New(rand.NewPCG(h.opts.Seed, 11))) })
+		return
+	}
 	for range maxConcurrentFaults {
 		seed := rnd.Uint64()
 		wg.Go(func() { h.injectSeries(ctx, rand.New(rand.NewPCG(seed, 3))) })
@@ -173,23 +181,26 @@
 	wg.Go(func() { h.nameLimits(ctx, rand.New(rand.NewPCG(h.opts.Seed, 6))) })
 	wg.Go(func() { h.poisonPrompts(ctx, rand.New(rand.NewPCG(h.opts.Seed, 8))) })
 	wg.Go(func() { h.probeRoutes(ctx) })
-	wg.Wait()
 }
 
 // injectSeries injects random faults, one after the other, until ctx is done.
 func (h *harness) injectSeries(ctx context.Context, rnd *rand.Rand) {
 	for ctx.Err() == nil {
-		f := faults[rnd.IntN(len(faults))]
-		h.mu.Lock()
-		h.faultCounts[f.name]++
-		h.mu.Unlock()
-		if err := f.run(ctx, h, rnd); err != nil {
-			h.addViolation("%s: %v", f.name, err)
-		}
+		h.injectOne(ctx, faults[rnd.IntN(len(faults))], rnd)
 		sleep(ctx, time.Duration(rnd.IntN(int(time.Second))))
 	}
 }
 
+// injectOne injects a fault and returns when it is undone.
+func (h *harness) injectOne(ctx context.Context, f fault, rnd *rand.Rand) {
+	h.mu.Lock()
+	h.faultCounts[f.name]++
+	h.mu.Unlock()
+	if err := f.run(ctx, h, rnd); err != nil {
+		h.addViolation("%s: %v", f.name, err)
+	}
+}
+
 // addViolation adds a formatted description of a violation to the report.
 func (h *harness) addViolation(format string, args ...any) {
 	h.mu.Lock()
@@ -266,7 +277,7 @@
 		}
 	}
 	for _, r := range h.fleet.runLog.All() {
-		if r.Instance == instance && r.StartedAt.After(drainedAt.Add(maxDrainDelay)) {
+		if r.Instance == instance && r.StartedAt.After(drainedAt.Add(maxDrainDelay)) && !h.pausedBetween(instance, drainedAt, r.StartedAt) {
 			h.addViolation("%s runs %s %s after it said that it leaves", instance, r.AttemptID, r.StartedAt.Sub(drainedAt))
 			return
 		}
@@ -292,6 +303,7 @@
 	h.checkLimits()
 	h.checkOutcomesKnown()
 	h.checkPrompts()
+	h.checkPauses()
 	for _, name := range h.fleet.runLog.OvercommittedInstances() {
 		h.addViolation("%s was ordered to hold more than it can", name)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	duration time.Duration
 	// replicaCount is the number of model replicas; 0 means defaultReplicaCount.
 	replicaCount int
+	onlyPauses   bool
 }{
 	"short": {seed: 1, duration: 6 * time.Second},
 	// Found that the harness started a router twice if two faults restarted it at the same time.
@@ -48,6 +49,8 @@
 	// Found that routers handed requests with a prompt part that crashes replicas on to one
 	// replica after the other (incident inc2 of 2026-12-04).
 	"prompt part crashes replicas": {seed: 36, duration: 20 * time.Second, replicaCount: 8},
+	// Found that streams went on at another replica while the first was silent for 1.3 to 2.4 s.
+	"replicas pause": {seed: 45010, duration: 8 * time.Second, replicaCount: 4, onlyPauses: true},
 }
 
 const (
@@ -80,6 +83,7 @@
 			report, err := Run(t.Context(), Options{
 				Bin: bin, Dir: t.TempDir(), Seed: c.seed, FaultDuration: c.duration, RouterCount: 3,
 				ModelReplicaCount: cmp.Or(c.replicaCount, defaultReplicaCount), CallerCount: 8,
+				OnlyPauses: c.onlyPauses,
 			})
 			require.NoError(t, err)
 			assert.Empty(t, report.Violations)
