core/relay: follow the agents of silent endpoints, tell an ended process from an ended run

In a fleet of which a router follows a part, nobody could be asked for the run of a silent attempt at another endpoint: the router tried its port and waited until the caller left. Its agent is followed now while the run is checked.

A request whose endpoint's process had ended was sent to the same address once more if no other endpoint had its model; only a run that an answering endpoint has lost is repeated there.

Test: TestAgentOfSilentEndpointIsFollowed (before: no agent is asked).

--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -172,6 +172,7 @@
 	if first {
 		s.informJudges()
 		s.askJudgesOfWaiting()
+		s.askAgentForRuns(e)
 	}
 	if first && s.followsSubset() {
 		s.dispatchWaiting()
--- a/core/relay/runcheck.go
+++ b/core/relay/runcheck.go
@@ -19,6 +19,8 @@
 	// the endpoint does not list. It doubles each time, up to runCheckInterval.
 	unlistedInterval     = 100 * time.Millisecond
 	maxUnlistedDoublings = 3
+	// portCheckInterval is the time between two checks of a port, whose connections have a price.
+	portCheckInterval = 2 * time.Second
 	// neededAnswers is the number of answers in a row after which a run is taken to have ended, or an
 	// endpoint to be unreachable.
 	neededAnswers = 2
@@ -68,10 +70,11 @@
 	goneCount, unreachableCount, unlistedCount int
 }
 
+// refused reports whether the process of the endpoint is known to have ended.
+func (c *runCheck) refused() bool { return c.last == stock.EndpointRefuses }
+
 // runEnded reports whether the run is known to have ended.
-func (c *runCheck) runEnded() bool {
-	return c.last == stock.EndpointRefuses || c.goneCount >= neededAnswers
-}
+func (c *runCheck) runEnded() bool { return c.refused() || c.goneCount >= neededAnswers }
 
 // isUnreachable reports whether no connection to the endpoint can be opened.
 func (c *runCheck) isUnreachable() bool { return c.unreachableCount >= neededAnswers }
@@ -98,6 +101,10 @@
 		c.unreachableCount = 0
 	}
 	switch state {
+	case stock.EndpointSilent:
+		if c.ofPort {
+			c.nextAt = now.Add(portCheckInterval)
+		}
 	case stock.RunGone:
 		c.goneCount++
 		c.nextAt = now.Add(runConfirmInterval)
@@ -200,3 +207,26 @@
 	s.checkRun(r, c)
 	return true
 }
+
+// askAgentForRuns lets an agent that has just connected be asked for the runs that are checked.
+func (s *State) askAgentForRuns(e *endpoint) {
+	for _, id := range slices.Sorted(maps.Keys(s.checked)) {
+		r := s.checked[id]
+		if c := r.runCheck(); c != nil && c.endpoint == e && !c.pending {
+			c.nextAt = s.now
+		}
+	}
+	s.checkRuns()
+}
+
+// silentCandidates returns the endpoints to follow because their agents can tell of runs that are
+// checked.
+func (s *State) silentCandidates() []followCandidate {
+	var candidates []followCandidate
+	for _, id := range slices.Sorted(maps.Keys(s.checked)) {
+		if c := s.checked[id].runCheck(); c != nil && c.endpoint.HasModels && s.endpoint(c.endpoint.Instance) == c.endpoint {
+			candidates = append(candidates, followCandidate{c.endpoint, alwaysFollowedWeight})
+		}
+	}
+	return candidates
+}
--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -53,8 +53,9 @@
 	waited Decision = "wait"
 	// resumed means that an event has ended the silence.
 	resumed Decision = "resumed"
-	// runEnded means that the endpoint no longer has the run, or that its process has ended.
-	runEnded Decision = "run-ended"
+	// runEnded means that the endpoint no longer has the run, processEnded that its process has ended.
+	runEnded     Decision = "run-ended"
+	processEnded Decision = "process-ended"
 	// unreachable means that no connection to the endpoint can be opened while others answer.
 	unreachable Decision = "unreachable"
 	// stuck means that the endpoint answers and the run makes no progress until its caller is about to
@@ -110,6 +111,7 @@
 	}
 	r.silence = &silence{number: ev.Number, since: ev.Since, check: runCheck{endpoint: r.target}}
 	s.checked[r.id] = r
+	s.followUpdatePending = s.followUpdatePending || s.followsSubset() && !r.target.hasAgent
 	s.emitCount("silences")
 	s.judge(r, waited)
 	s.judgeSilence(r)
@@ -176,6 +178,8 @@
 		return waited
 	}
 	switch {
+	case l.check.refused():
+		return processEnded
 	case l.check.runEnded():
 		return runEnded
 	case l.check.isUnreachable() && s.othersHeard(r.target, l.since) && s.mayGoOn(r):
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -239,3 +239,21 @@
 		assert.Zero(t, router.state.endpoint(instance).ejectedUntil)
 	}
 }
+
+// Guards against a run that is lost unnoticed in a large fleet, as the router is not connected to the
+// agent of its endpoint.
+func TestAgentOfSilentEndpointIsFollowed(t *testing.T) {
+	t.Parallel()
+	router := newTestRouter(t, fleetEntries(600, func(i int) []string { return []string{string(rune('a' + i%5))} })...)
+	router.advance(firstReportTimeout)
+	id := router.arrive(streamRoute(), modelA)
+	send := onlyEffect[Send](router)
+	router.advance(time.Minute)
+	require.NotContains(t, router.followedInstances(), send.Instance)
+	router.silence(id)
+	require.Equal(t, send.Instance, onlyEffect[CheckPort](router).Instance)
+	require.Contains(t, router.followedInstances(), send.Instance)
+	router.apply(PortChecked{Instance: send.Instance})
+	router.report(send.Instance, withModels("a"))
+	require.Equal(t, send.Instance, onlyEffect[AskRun](router).Instance)
+}
--- a/core/relay/targets.go
+++ b/core/relay/targets.go
@@ -48,6 +48,7 @@
 func (s *State) followTargets() []*endpoint {
 	candidates := append(s.judgeCandidates(), s.baselineCandidates()...)
 	candidates = append(candidates, s.originCandidates()...)
+	candidates = append(candidates, s.silentCandidates()...)
 	candidates = append(candidates, s.loaderCandidates()...)
 	candidates = append(candidates, s.limitedCandidates()...)
 	for _, model := range slices.Sorted(maps.Keys(s.modelTraffic)) {
