--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -180,6 +180,7 @@
 		s.software.tellPending = true
 		s.informJudges()
 		s.askJudgesOfWaiting()
+		s.askAgentForRuns(e)
 	}
 	if first && s.followsSubset() {
 		s.dispatchWaiting()
