io/mirror: bound the time of entries that are missing beside a few survivors

Cause: endpoints that drain when a cut begins are gone at its end, so that fewer than half of the entries survive it beside a release.

Change: if any entry has survived, missing ones are retained for one second at most; only if none has, until restoreWindow after the outage.

--- a/io/mirror/hedge.go
+++ b/io/mirror/hedge.go
@@ -52,7 +52,13 @@
 	hedging := false
 	var zero T
 	for {
+		var expiry <-chan time.Time
+		if at, ok := m.nextExpiry(); ok {
+			expiry = time.After(time.Until(at))
+		}
 		select {
+		case <-expiry:
+			m.expireAndNotify(time.Now())
 		case a := <-answers:
 			inFlight--
 			if a.err == nil || errors.Is(a.err, ErrCompacted) || inFlight == 0 {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -6,7 +6,7 @@
 // process that put it there with a lease. As leases expire during an outage, entries that
 // disappear around one are retained for a while, so that their writers can write them again. If
 // most entries have survived it, only this process could not reach the store, and those that are
-// missing have been removed by their writers.
+// missing have been removed by their writers; the more have survived, the shorter is that while.
 package mirror
 
 import (
--- a/io/mirror/retain.go
+++ b/io/mirror/retain.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// mixedRetention bounds how long an entry is retained if some leases have not expired in the outage. With
+// the pause between two watches it is shorter than the time within which requests to a removed endpoint
+// must stop.
+const mixedRetention = time.Second
+
 // noteCreation notes when the key of an item was created. A store that does not tell has created it
 // anew with each write, as far as is known.
 func (m *Mirror) noteCreation(it Item) {
@@ -14,16 +19,13 @@
 // remove drops or retains entries that have been removed, and reports whether it has dropped any. An
 // entry that is retained already keeps its time.
 func (m *Mirror) remove(removed map[string]bool, now time.Time) bool {
-	until := m.retainUntil()
-	if !now.Before(until) || m.mostSurvived(removed) {
-		until = time.Time{}
-	}
+	until := m.retainUntil(removed, now)
 	changed := false
 	for key := range removed {
 		if _, ok := m.retained[key]; ok {
 			continue
 		}
-		if until.IsZero() {
+		if !now.Before(until) {
 			m.drop(key)
 			changed = true
 			continue
@@ -33,17 +35,34 @@
 	return changed
 }
 
-// mostSurvived reports whether at least half of the entries from before the last outage are in the
-// store still, without removed. Then leases have not expired in it.
-func (m *Mirror) mostSurvived(removed map[string]bool) bool {
-	survived := 0
+// retainUntil returns until when entries are retained that are missing now. The time is not after now if
+// their writers have removed them.
+func (m *Mirror) retainUntil(removed map[string]bool, now time.Time) time.Time {
+	if m.lastOutageEnd.IsZero() {
+		return time.Time{}
+	}
+	until := m.lastOutageEnd.Add(restoreWindow)
+	survived := m.survivorCount(removed)
+	switch limit := now.Add(mixedRetention); {
+	case 2*survived >= len(m.beforeOutage):
+		return time.Time{}
+	case survived > 0 && limit.Before(until):
+		return limit
+	}
+	return until
+}
+
+// survivorCount returns how many entries from before the last outage are in the store still, without
+// removed. Their leases have not expired in it.
+func (m *Mirror) survivorCount(removed map[string]bool) int {
+	count := 0
 	for key, creation := range m.beforeOutage {
 		_, missing := m.retained[key]
 		if !missing && !removed[key] && m.creations[key] == creation {
-			survived++
+			count++
 		}
 	}
-	return 2*survived >= len(m.beforeOutage)
+	return count
 }
 
 func (m *Mirror) drop(key string) {
@@ -52,12 +71,3 @@
 	delete(m.revisions, key)
 	delete(m.creations, key)
 }
-
-// retainUntil returns until when entries that are missing now are retained for their writers. The time
-// is zero if there was no outage, and not after now if restoreWindow has passed since the last one.
-func (m *Mirror) retainUntil() time.Time {
-	if m.lastOutageEnd.IsZero() {
-		return time.Time{}
-	}
-	return m.lastOutageEnd.Add(restoreWindow)
-}
--- a/io/mirror/retain_test.go
+++ b/io/mirror/retain_test.go
@@ -81,3 +81,31 @@
 		assert.Equal(t, map[string]string{"servers/00": "2"}, snapshot())
 	})
 }
+
+// Guards against requests to endpoints that have left, by a router that was cut off while most endpoints
+// were replaced.
+func TestEntriesReplacedInACutAreDroppedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &faultyStore{fakeStore: newFakeStore()}
+		all := putMany(s, 12)
+		m, snapshot := startRootMirror(t, s)
+		requireEventually(t, all, snapshot)
+		s.withLock(func() { s.fault = faultSilent })
+		time.Sleep(8 * time.Second)
+		for key := range all {
+			if key != "servers/03" && key != "servers/07" {
+				s.remove(key)
+			}
+		}
+		s.withLock(func() { s.fault = faultNone })
+		healedAt := time.Now()
+		time.Sleep(time.Second)
+		s.remove("servers/07")
+		// The rule on requests to endpoints that have left holds from 3 s after the cut on.
+		for time.Since(healedAt) < 3*time.Second {
+			time.Sleep(100 * time.Millisecond)
+			m.Refresh()
+		}
+		assert.Equal(t, map[string]string{"servers/03": "1"}, snapshot())
+	})
+}
