--- a/core/relay/outofstep_test.go
+++ b/core/relay/outofstep_test.go
@@ -264,3 +264,26 @@
 	router.apply(record(2, "v1.1"))
 	assert.Equal(t, "v1.1", onlyEffect[Send](router).Software)
 }
+
+// A router that gets no answer from the store and from agents, as it is cut off from all, refuses a
+// stream that it did not begin and goes on with one that it did.
+func TestCutOffRouterRefusesStreamOfOthers(t *testing.T) {
+	router := newOutOfStepRouter(t)
+	router.resume()
+	for range 4 {
+		router.advance(originSettleTime)
+		require.Empty(t, effectsOf[Send](router))
+		require.Empty(t, effectsOf[Refuse](router))
+	}
+	router.advance(originSettleTime)
+	refusal := onlyEffect[Refuse](router)
+	assert.Equal(t, UnknownVersion, refusal.Reason)
+	assert.Equal(t, router.now, refusal.RetryAt, "another router may know")
+
+	id := router.arrive(streamRoute(), stock.Item{Model: "a"})
+	router.state.requests[id].Origin = resumedStream
+	router.apply(AnswerStarted{ID: id})
+	router.apply(CallerDone{ID: id})
+	router.resume()
+	assert.Equal(t, "v1", onlyEffect[Send](router).Software)
+}
