--- a/soak/pauses.go
+++ b/soak/pauses.go
@@ -62,9 +62,10 @@
 		r.faultMu.Lock()
 		defer r.faultMu.Unlock()
 		r.Drain()
-		sleep(ctx, drainServeTime-d)
+		// A replica that leaves goes on for all of drainServeTime.
+		time.Sleep(drainServeTime - d)
 		r.Pause(d)
-		sleep(ctx, d+minPause)
+		time.Sleep(d + minPause)
 		if err := r.Crash(); err != nil {
 			return err
 		}
