--- a/soak/prompts_test.go
+++ b/soak/prompts_test.go
@@ -55,6 +55,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &harness{fleet: &fleet{
+				runLog:   &mock.RunLog{},
 				routers:  []*process{{name: "front", disturbances: c.disturbances}},
 				replicas: []*replica{{Replica: &mock.Replica{}, linkFaults: c.linkFaults}},
 			}}
