io/conns: no keep-alive probes while a request is in flight

A request to an endpoint whose whole host is silent for 2.5 s (a paused virtual machine, a cut link) ended as broken: keep-alive probes close a connection after 1 s + 3 x 0.5 s without an answer, also while the endpoint works on the request. A probe says nothing on the run. Connections are probed while they are idle only; in use, evidence of the run (core/relay), another endpoint for a safe request, or the deadline ends the request.

TestProbesEndNoRequest fails before: new and reused connections are probed. A silent host itself cannot be played on loopback without root; not run.

An unsafe request at a host that is lost for good now ends at its deadline instead of after 2.5 s; it could not be sent elsewhere in either case.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -52,8 +52,9 @@
 // connection.
 const NoIdleLimit = time.Hour
 
-// keepAlive detects within about 2.5 s that the endpoint or the network path to it
-// has failed.
+// keepAlive detects within about 2.5 s that the host of an idle connection, or the network path to it,
+// has failed. A connection in use is not probed: its endpoint may work on the request while its host is
+// silent, and users of the pool have evidence or a deadline for that.
 var keepAlive = net.KeepAliveConfig{
 	Enable:   true,
 	Idle:     time.Second,
@@ -108,7 +109,7 @@
 		if c == nil {
 			return dial(ctx, addr)
 		}
-		if time.Now().Before(c.expiresAt) && c.reusable() {
+		if time.Now().Before(c.expiresAt) && c.reusable() && c.probe(false) == nil {
 			c.reused = true
 			return c, nil
 		}
@@ -138,7 +139,24 @@
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrUnreachable, err)
 	}
 	limit := &headLimit{conn: raw}
-	return &Conn{Conn: raw, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, addr: addr}, nil
+	c := &Conn{Conn: raw, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, addr: addr}
+	if err := c.probe(false); err != nil {
+		_ = raw.Close()
+		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrUnreachable, err)
+	}
+	return c, nil
+}
+
+// probe sets whether the kernel probes the connection.
+func (c *Conn) probe(on bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAlive(on); err != nil {
+		return fmt.Errorf("set keep-alive: %w", err)
+	}
+	return nil
 }
 
 // headLimit reads from a connection. While a head is read, it fails with ErrHeadTooLong after
@@ -234,7 +252,7 @@
 // closes the connection if timeout is zero, if unread data is buffered, or if the
 // pool is full for the address.
 func (p *Pool) Put(c *Conn, timeout IdleTimeout) {
-	if timeout.duration <= 0 || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if timeout.duration <= 0 || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil || c.probe(true) != nil {
 		_ = c.Close()
 		return
 	}
--- a/io/conns/pool_test.go
+++ b/io/conns/pool_test.go
@@ -154,3 +154,31 @@
 		assert.Equal(t, body, string(got))
 	}
 }
+
+// keepsAlive reports whether the kernel probes the connection.
+func keepsAlive(t *testing.T, c *Conn) bool {
+	t.Helper()
+	rc, err := c.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	var on int
+	var optErr error
+	require.NoError(t, rc.Control(func(fd uintptr) {
+		on, optErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+	}))
+	require.NoError(t, optErr)
+	return on != 0
+}
+
+// Guards against probes that end a request after a silence of its endpoint's host of 2.5 s, which may
+// work on it. They end idle connections.
+func TestProbesEndNoRequest(t *testing.T) {
+	p := NewPool()
+	c, _ := connPair(t, p)
+	assert.False(t, keepsAlive(t, c), "new connection")
+	p.Put(c, IdleTimeout{time.Minute})
+	assert.True(t, keepsAlive(t, c), "idle connection")
+	again, err := p.Get(t.Context(), c.addr, NoIdleLimit)
+	require.NoError(t, err)
+	require.Same(t, c, again)
+	assert.False(t, keepsAlive(t, c), "connection in use again")
+}
