core/epoch: era and revision of the store as one ordered type

Cause: revisions were taken to grow for ever. The mirror left out items with a lower revision than it knew of the key, routers and agents compared the revisions of two eras, and a token was the bare revision of a write. Nothing read the header Store-Era.

Now the store's client makes one value of era and number, whose parts can't be compared alone: in the mirror, watches, the feed, the routes of agents, the record of versions and fencing tokens. An answer of an earlier era is an error. What a process has seen replaced or removed stays without effect when the copy has it again; what only the store has said does not survive. Agents write nothing anew.

--- a/core/relay/software_test.go
+++ b/core/relay/software_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chervilreach/core/epoch"
 	"chervilreach/core/origin"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
@@ -124,7 +125,7 @@
 			router.resume()
 			asks := effectsOf[AskOrigin](router)
 			require.Len(t, asks, len(c.entries), "all judges are asked")
-			router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: c.record, Revision: 1}}})
+			router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: c.record, Revision: epoch.At(0, 1)}}})
 			for round := 0; round < 2 && len(effectsOf[Send](router))+len(effectsOf[Refuse](router)) == 0; round++ {
 				for _, ask := range asks {
 					router.apply(OriginAnswered{ID: ask.ID, Judge: ask.Judge, Software: c.told, Versions: c.known})
@@ -337,13 +338,13 @@
 	router.apply(VersionsRead{})
 	first := onlyEffect[WriteVersions](router).Record
 	assert.Equal(t, VersionsRecord{Service: llm, Versions: []string{"v1"}}, first)
-	first.Revision = 5
+	first.Revision = epoch.At(0, 5)
 	router.apply(VersionsWritten{Record: first})
 
 	// Another router is faster.
 	router.listEndpoints(withSoftware("i-1", "v1"), withSoftware("i-2", "v1.1"))
 	awaitRead()
-	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: 6}}})
+	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: epoch.At(0, 6)}}})
 	assert.Empty(t, effectsOf[WriteVersions](router))
 
 	// A version that has gone is taken out when its streams can't be resumed any more.
@@ -352,8 +353,8 @@
 	require.Empty(t, effectsOf[ReadVersions](router))
 	router.advance(time.Second)
 	awaitRead()
-	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: 6}}})
-	assert.Equal(t, VersionsRecord{Service: llm, Versions: []string{"v1.1"}, Revision: 6}, onlyEffect[WriteVersions](router).Record)
+	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: epoch.At(0, 6)}}})
+	assert.Equal(t, VersionsRecord{Service: llm, Versions: []string{"v1.1"}, Revision: epoch.At(0, 6)}, onlyEffect[WriteVersions](router).Record)
 	// A lost write is tried again.
 	router.apply(VersionsWritten{Failed: true})
 	awaitRead()
@@ -365,7 +366,7 @@
 	router := newVersionsRouter(t, withSoftware("i-1", "v1.1"))
 	id := router.arrive(streamRoute(), stock.Item{Model: "a"})
 	router.state.requests[id].Origin = resumedStream
-	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: 1}}})
+	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: epoch.At(0, 1)}}})
 	router.apply(AnswerStarted{ID: id})
 	assert.Equal(t, []origin.Origin{{Stream: resumedStream, Software: "v1.1"}}, onlyEffect[ReportOrigins](router).Origins)
 }
@@ -384,7 +385,7 @@
 func TestNewRouterKeepsRecordedVersions(t *testing.T) {
 	router := newVersionsRouter(t, withSoftware("i-1", "v1.1"))
 	router.arrive(streamRoute(), stock.Item{Model: "a"})
-	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: 1}}})
+	router.apply(VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: []string{"v1", "v1.1"}, Revision: epoch.At(0, 1)}}})
 	for range 100 {
 		router.advance(100 * time.Millisecond)
 		require.Empty(t, effectsOf[ReadVersions](router))
--- a/core/relay/versions.go
+++ b/core/relay/versions.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"chervilreach/core/epoch"
 	"chervilreach/core/origin"
 )
 
@@ -27,8 +28,8 @@
 type VersionsRecord struct {
 	Service  string
 	Versions []string
-	// Revision is the revision of the record; 0 if there is none.
-	Revision int64
+	// Revision is the revision of the record; zero if there is none.
+	Revision epoch.Revision
 }
 
 // ReadVersions reads the records of all services.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/core/route"
 )
 
@@ -76,10 +77,10 @@
 	document []byte
 	version  int64
 	// knownRevision is a revision of the store at which the document was the newest.
-	knownRevision int64
+	knownRevision epoch.Revision
 	// unseenRevision is a revision at which there may be a newer one, unseenAt the time since which
 	// that is known. wantedVersion is a version that an agent has.
-	unseenRevision int64
+	unseenRevision epoch.Revision
 	unseenAt       time.Time
 	wantedVersion  int64
 	// adoptedAt is the time of the last adoption.
@@ -111,14 +112,14 @@
 }
 
 // Offer adopts a document unless it is as old as the current one. revision is a revision of the store
-// at which it was the newest; 0 if unknown. The document must not be changed afterwards.
-func (f *Feed) Offer(document []byte, source string, revision int64, readAt time.Time) error {
+// at which it was the newest; zero if unknown. The document must not be changed afterwards.
+func (f *Feed) Offer(document []byte, source string, revision epoch.Revision, readAt time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.offer(document, source, revision, readAt)
 }
 
-func (f *Feed) offer(document []byte, source string, revision int64, readAt time.Time) error {
+func (f *Feed) offer(document []byte, source string, revision epoch.Revision, readAt time.Time) error {
 	table, err := f.opts.Decode(document)
 	if err != nil {
 		return fmt.Errorf("routes from %s: %w", source, err)
@@ -138,7 +139,7 @@
 
 // OfferDeltas adopts the version to which deltas lead from the current one. Deltas from or to older
 // versions are ignored. Errors wrap ErrNoDocument or delta.ErrMismatch, or are those of Decode.
-func (f *Feed) OfferDeltas(list []delta.Delta, source string, revision int64, readAt time.Time) error {
+func (f *Feed) OfferDeltas(list []delta.Delta, source string, revision epoch.Revision, readAt time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.version == 0 {
@@ -162,7 +163,7 @@
 }
 
 // Confirm notes that a version was the newest one at a revision of the store.
-func (f *Feed) Confirm(version, revision int64) {
+func (f *Feed) Confirm(version int64, revision epoch.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version == f.version {
@@ -173,33 +174,33 @@
 // settle notes that the document is the newest at a revision of the store. If that is why there is no
 // unseen revision any more, and no version has been adopted around the time at which it became known,
 // it was one of something else.
-func (f *Feed) settle(revision int64) {
-	wasUnseen := f.unseenRevision > f.knownRevision
-	f.knownRevision = max(f.knownRevision, revision)
-	if wasUnseen && f.unseenRevision <= f.knownRevision && f.adoptedAt.Before(f.unseenAt.Add(-f.opts.WatchCycle-watchDelay)) {
+func (f *Feed) settle(revision epoch.Revision) {
+	wasUnseen := f.unseenRevision.After(f.knownRevision)
+	f.knownRevision = epoch.Latest(f.knownRevision, revision)
+	if wasUnseen && !f.unseenRevision.After(f.knownRevision) && f.adoptedAt.Before(f.unseenAt.Add(-f.opts.WatchCycle-watchDelay)) {
 		f.skipDue = true
 	}
 }
 
-// UnseenRevision returns a revision of the store at which there may be a newer version; 0 if there is
+// UnseenRevision returns a revision of the store at which there may be a newer version; zero if there is
 // none.
-func (f *Feed) UnseenRevision() int64 {
+func (f *Feed) UnseenRevision() epoch.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unseenRevision <= f.knownRevision {
-		return 0
+	if !f.unseenRevision.After(f.knownRevision) {
+		return epoch.Revision{}
 	}
 	return f.unseenRevision
 }
 
 // Unseen notes a revision of the store at which there may be a newer version.
-func (f *Feed) Unseen(revision int64) {
+func (f *Feed) Unseen(revision epoch.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.unseenRevision {
+	if !revision.After(f.unseenRevision) {
 		return
 	}
-	if f.unseenRevision <= f.knownRevision {
+	if !f.unseenRevision.After(f.knownRevision) {
 		f.unseenAt = time.Now()
 	}
 	f.unseenRevision = revision
@@ -214,7 +215,7 @@
 
 // StoreRead notes that a read of the store has ended. Unless it called Offer, the document has not
 // changed up to the revision.
-func (f *Feed) StoreRead(revision int64) {
+func (f *Feed) StoreRead(revision epoch.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reading = false
@@ -272,7 +273,7 @@
 	if f.reading {
 		return false, false
 	}
-	unseen := f.unseenRevision > f.knownRevision
+	unseen := f.unseenRevision.After(f.knownRevision)
 	if unseen && agents {
 		ask = !now.Before(f.unseenAt.Add(agentLead)) && !now.Before(f.askedAt.Add(askInterval))
 		unseen = !now.Before(f.unseenAt.Add(f.lead()))
@@ -283,8 +284,8 @@
 	if now.Before(f.nextReadAt) || !unseen && f.wantedVersion <= f.version {
 		return ask, false
 	}
-	f.opts.Log.Info().Int64("version", f.version).Int64("wanted", f.wantedVersion).Int64("revision", f.knownRevision).
-		Int64("unseen", f.unseenRevision).Msg("reading routes from the store")
+	f.opts.Log.Info().Int64("version", f.version).Int64("wanted", f.wantedVersion).Stringer("revision", f.knownRevision).
+		Stringer("unseen", f.unseenRevision).Msg("reading routes from the store")
 	f.reading, f.readVersion = true, f.version
 	return ask, true
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/core/route"
 	"chervilreach/io/feed"
 )
@@ -40,7 +41,7 @@
 	mu sync.Mutex
 	// document and revision are those of the store.
 	document string
-	revision int64
+	revision epoch.Revision
 	// agents reports whether agents are connected.
 	agents bool
 	// adopted are the versions in the order of their adoption, with their sources.
@@ -55,7 +56,7 @@
 
 // newRouter returns a router that has read version 1 at revision 1.
 func newRouter(t *testing.T) *router {
-	r := &router{t: t, document: "1}", revision: 1, agents: true}
+	r := &router{t: t, document: "1}", revision: epoch.At(1, 1), agents: true}
 	r.feed = feed.New(feed.Options{
 		WatchCycle: 1500 * time.Millisecond,
 		Decode:     decode, Log: zerolog.Nop(),
@@ -102,7 +103,7 @@
 // read is what a mirror does when it reads the store.
 func (r *router) read() {
 	var document string
-	var revision int64
+	var revision epoch.Revision
 	r.do(func() { document, revision = r.document, r.revision })
 	if err := r.feed.Offer([]byte(document), "store", revision, time.Now()); err != nil {
 		r.t.Error(err)
@@ -110,10 +111,16 @@
 	r.feed.StoreRead(revision)
 }
 
+// after returns the revision after another.
+func after(r epoch.Revision) epoch.Revision {
+	era, number := r.Wire()
+	return epoch.At(era, number+1)
+}
+
 // raise raises the revision of the store, which the watch of the endpoints shows without having
 // delivered it.
 func (r *router) raise() {
-	r.do(func() { r.revision++ })
+	r.do(func() { r.revision = after(r.revision) })
 	r.feed.Unseen(r.revision)
 }
 
@@ -138,37 +145,48 @@
 			require.NoError(r.t, r.feed.OfferDeltas([]delta.Delta{d}, "agent", r.revision, time.Now()))
 		}, "[agent 2]", 0, 0},
 		"an agent sends it before the watch": {func(r *router) {
-			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
+			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", epoch.At(1, 2), time.Now()))
 			r.put(2)
 		}, "[agent 2]", 0, 0},
 		"an agent has an older one": {func(r *router) {
-			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
-			r.do(func() { r.revision = 2 })
+			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", epoch.At(1, 2), time.Now()))
+			r.do(func() { r.revision = epoch.At(1, 2) })
 			r.put(3)
-			r.feed.Confirm(2, 2)
+			r.feed.Confirm(2, epoch.At(1, 2))
 		}, "[agent 2 store 3]", 1, 0},
 		"agents are silent":        {func(r *router) { r.put(2) }, "[store 2]", 1, 0},
 		"there are no agents":      {func(r *router) { r.do(func() { r.agents = false }); r.put(2) }, "[store 2]", 1, 0},
 		"an agent fails to send":   {func(r *router) { r.do(func() { r.document = "2}" }); r.feed.Want(2) }, "[store 2]", 1, 0},
 		"several versions at once": {func(r *router) { r.put(2); r.put(3); r.put(4) }, "[store 4]", 1, 0},
+		"the store comes back from a copy": {func(r *router) {
+			r.do(func() { r.revision = epoch.At(1, 40) })
+			r.feed.Confirm(1, epoch.At(1, 40))
+			r.do(func() { r.document, r.revision = "2}", epoch.At(2, 30) })
+			r.feed.Unseen(epoch.At(2, 30))
+		}, "[store 2]", 1, 0},
+		"an agent knows only the era before": {func(r *router) {
+			r.do(func() { r.document, r.revision = "2}", epoch.At(2, 30) })
+			r.feed.Unseen(epoch.At(2, 30))
+			r.feed.Confirm(1, epoch.At(1, 40))
+		}, "[store 2]", 1, 0},
 		"an agent confirms": {func(r *router) {
 			r.raise()
 			r.feed.Confirm(1, r.revision)
 		}, "[]", 0, 1},
 		"an older document": {func(r *router) {
-			require.NoError(r.t, r.feed.Offer([]byte("0}"), "agent", 9, time.Now()))
+			require.NoError(r.t, r.feed.Offer([]byte("0}"), "agent", epoch.At(1, 9), time.Now()))
 		}, "[]", 0, 0},
 		"deltas from a version before": {func(r *router) {
-			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", 2, time.Now()))
+			require.NoError(r.t, r.feed.Offer([]byte("2}"), "agent", epoch.At(1, 2), time.Now()))
 			d := []delta.Delta{delta.Diff(1, 2, []byte("1}"), []byte("2}")), delta.Diff(2, 3, []byte("2}"), []byte("3}"))}
-			require.NoError(r.t, r.feed.OfferDeltas(d, "agent", 3, time.Now()))
+			require.NoError(r.t, r.feed.OfferDeltas(d, "agent", epoch.At(1, 3), time.Now()))
 		}, "[agent 2 agent 3]", 0, 0},
 		"deltas of another document": {func(r *router) {
 			d := delta.Diff(1, 2, []byte("1}other}"), []byte("2}other}"))
-			require.ErrorIs(r.t, r.feed.OfferDeltas([]delta.Delta{d}, "agent", 2, time.Now()), delta.ErrMismatch)
+			require.ErrorIs(r.t, r.feed.OfferDeltas([]delta.Delta{d}, "agent", epoch.At(1, 2), time.Now()), delta.ErrMismatch)
 		}, "[]", 0, 0},
 		"malformed document": {func(r *router) {
-			require.ErrorIs(r.t, r.feed.Offer([]byte("x"), "agent", 2, time.Now()), errNoVersion)
+			require.ErrorIs(r.t, r.feed.Offer([]byte("x"), "agent", epoch.At(1, 2), time.Now()), errNoVersion)
 			assert.EqualValues(r.t, 1, r.feed.Version())
 		}, "[]", 0, 0},
 	} {
@@ -234,7 +252,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRouter(t)
 				r.do(func() { r.document = "2}" + strings.Repeat("x", 100_000) })
-				require.NoError(t, r.feed.Offer([]byte(r.document), "agent", 1, time.Now()))
+				require.NoError(t, r.feed.Offer([]byte(r.document), "agent", epoch.At(1, 1), time.Now()))
 				r.do(func() { r.confirming = c.confirming })
 				r.raise()
 				time.Sleep(1600 * time.Millisecond)
@@ -247,6 +265,6 @@
 
 func TestDeltasNeedADocument(t *testing.T) {
 	f := feed.New(feed.Options{Decode: decode})
-	err := f.OfferDeltas([]delta.Delta{delta.Diff(1, 2, []byte("1}"), []byte("2}"))}, "agent", 2, time.Now())
+	err := f.OfferDeltas([]delta.Delta{delta.Diff(1, 2, []byte("1}"), []byte("2}"))}, "agent", epoch.At(1, 2), time.Now())
 	require.ErrorIs(t, err, feed.ErrNoDocument)
 }
--- a/io/mirror/fault_test.go
+++ b/io/mirror/fault_test.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"chervilreach/core/epoch"
 )
 
 // fault is how a faultyStore handles calls that begin while the fault is set.
@@ -97,28 +99,28 @@
 	return s.fakeStore.Page(ctx, prefix, after)
 }
 
-func (s *faultyStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (s *faultyStore) Watch(ctx context.Context, prefix string, after epoch.Revision, wait time.Duration) ([]Item, epoch.Revision, error) {
 	current := s.currentFault()
 	if current == faultSlow {
 		// Any answer is delayed, whether or not it has changes.
 		items, next, err := s.fakeStore.Watch(ctx, prefix, after, wait)
 		if err != nil {
-			return nil, 0, err
+			return nil, epoch.Revision{}, err
 		}
 		return items, next, s.inject(ctx, faultSlow)
 	}
 	if err := s.inject(ctx, current); err != nil {
-		return nil, 0, err
+		return nil, epoch.Revision{}, err
 	}
 	if current == faultSkip {
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, epoch.Revision{}, ctx.Err()
 		case <-time.After(wait):
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return nil, s.revision, nil
+		return nil, s.current(), nil
 	}
 	return s.fakeStore.Watch(ctx, prefix, after, wait)
 }
@@ -335,10 +337,10 @@
 	hung atomic.Bool
 }
 
-func (s *hungStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (s *hungStore) Watch(ctx context.Context, prefix string, after epoch.Revision, wait time.Duration) ([]Item, epoch.Revision, error) {
 	if s.hung.CompareAndSwap(false, true) {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, epoch.Revision{}, ctx.Err()
 	}
 	return s.fakeStore.Watch(ctx, prefix, after, wait)
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"chervilreach/core/epoch"
 )
 
 // ErrCompacted reports that the store has compacted the history after the
@@ -64,7 +66,7 @@
 	Key   string
 	Value []byte
 	// Revision is the revision of the store that last changed the key.
-	Revision int64
+	Revision epoch.Revision
 }
 
 // Page is a consecutive part of the keys under a prefix, in key order.
@@ -74,7 +76,7 @@
 	More bool
 	// Revision is a revision of the store. A watch that starts after it delivers
 	// every change made since the page was read.
-	Revision int64
+	Revision epoch.Revision
 }
 
 // Store is the client of the platform's key-value store.
@@ -85,8 +87,9 @@
 	// Watch returns the changes under prefix that were made after a revision, and
 	// the revision to pass as after to the next call. If there are none it waits for
 	// one, at most for the given time. The error wraps ErrCompacted if the store no
-	// longer has these changes.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// longer has these changes. If the store is in another era than after, the changes are not those
+	// since after.
+	Watch(ctx context.Context, prefix string, after epoch.Revision, wait time.Duration) ([]Item, epoch.Revision, error)
 }
 
 // Options configure a Mirror. All fields but Prefix are required.
@@ -112,11 +115,11 @@
 	// OnFullRead is called from Run after each full read, after OnChange, with a revision of the
 	// store at which the entries were current. A watch gives no such revision, as it may skip a
 	// change. It may be nil.
-	OnFullRead func(revision int64)
+	OnFullRead func(revision epoch.Revision)
 	// OnUnseen is called from Run with the latest revision of the store that neither a watch nor
 	// a full read has delivered: it changed a key outside the prefix, a watch has skipped it, or
 	// a full read found a later one of the same key. It may be nil.
-	OnUnseen func(revision int64)
+	OnUnseen func(revision epoch.Revision)
 }
 
 // Snapshot is the state of a mirror at one time.
@@ -128,8 +131,8 @@
 	Partial bool
 	// ReadAt is the time at which the store's last answer arrived.
 	ReadAt time.Time
-	// Revision is the revision of the store up to which changes have been read; 0 if Partial.
-	Revision int64
+	// Revision is the revision of the store up to which changes have been read; zero if Partial.
+	Revision epoch.Revision
 }
 
 // Mirror is a local copy of the keys under a prefix. Run must be called once;
@@ -143,10 +146,13 @@
 	// writers may write again, with the time at which the entry is dropped.
 	retained map[string]time.Time
 	// revisions holds the revision of each key in entries.
-	revisions map[string]int64
-	// cursor is the revision after which the next watch starts; 0 means that a full
+	revisions map[string]epoch.Revision
+	// era is the store's era at the last full read. rewinds has what its returns from copies need.
+	era     int64
+	rewinds rewinds
+	// cursor is the revision after which the next watch starts; zero means that a full
 	// read is due.
-	cursor int64
+	cursor epoch.Revision
 	// fullRead is the full read in progress, or nil.
 	fullRead *fullRead
 	// behind reports whether the store is known to have a revision after cursor, so
@@ -174,7 +180,7 @@
 	// fullReadDone reports whether a full read has completed since the start.
 	fullReadDone bool
 	// seenRevision is the revision up to which reportUnseen has looked.
-	seenRevision int64
+	seenRevision epoch.Revision
 	// readAt is the time at which the store's last answer arrived.
 	readAt time.Time
 }
@@ -185,7 +191,7 @@
 type fullRead struct {
 	items []Item
 	// revision is the revision of the first page, newest that of the last one.
-	revision, newest int64
+	revision, newest epoch.Revision
 	// after is the last key read.
 	after string
 	// progressed reports whether a page has arrived since the last failed call.
@@ -196,7 +202,7 @@
 func New(opts Options) *Mirror {
 	return &Mirror{
 		opts: opts, entries: make(map[string][]byte), retained: make(map[string]time.Time),
-		revisions: make(map[string]int64), refresh: make(chan struct{}, 1),
+		revisions: make(map[string]epoch.Revision), rewinds: newRewinds(), refresh: make(chan struct{}, 1),
 	}
 }
 
@@ -253,10 +259,10 @@
 // step makes a full read if one is due, and otherwise waits for a change.
 func (m *Mirror) step(ctx context.Context) error {
 	if m.changeSkipped && !time.Now().Before(m.rereadAt) {
-		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.cursor).Msg("watch skipped a change; reading all keys")
-		m.cursor, m.changeSkipped, m.rereadInProgress, m.foundNewer = 0, false, true, false
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Stringer("revision", m.cursor).Msg("watch skipped a change; reading all keys")
+		m.cursor, m.changeSkipped, m.rereadInProgress, m.foundNewer = epoch.Revision{}, false, true, false
 	}
-	if m.cursor == 0 {
+	if m.cursor.IsZero() {
 		m.rereadNow = false
 		return m.readAll(ctx)
 	}
@@ -271,22 +277,30 @@
 	items, cursor, err := m.watch(ctx, wait)
 	m.behind = false
 	if errors.Is(err, errRefresh) {
-		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.cursor).Msg("change reported by another process; reading all keys")
-		m.cursor, m.rereadNow = 0, true
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Stringer("revision", m.cursor).Msg("change reported by another process; reading all keys")
+		m.cursor, m.rereadNow = epoch.Revision{}, true
 		return nil
 	}
 	if errors.Is(err, ErrCompacted) {
-		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Int64("revision", m.cursor).Msg("store history compacted; reading all keys")
-		m.cursor, m.rereadNow = 0, true
+		m.opts.Log.Info().Str("prefix", m.opts.Prefix).Stringer("revision", m.cursor).Msg("store history compacted; reading all keys")
+		m.cursor, m.rereadNow = epoch.Revision{}, true
 		return nil
 	}
+	if err == nil && cursor.Era() < m.era {
+		err = errEarlierEra
+	}
 	if err != nil {
 		return err
 	}
 	m.readAt = time.Now()
 	m.markOutageEnd()
+	if cursor.Era() > m.era {
+		// The changes are not those since the cursor.
+		m.cursor, m.rereadNow = epoch.Revision{}, true
+		return nil
+	}
 	m.detectSkippedChange(items, cursor)
-	m.cursor = max(cursor, m.cursor)
+	m.cursor = epoch.Latest(cursor, m.cursor)
 	m.apply(items)
 	m.reportUnseen(items)
 	return nil
@@ -294,12 +308,12 @@
 
 // detectSkippedChange sets changeSkipped if a watch has advanced the cursor beyond
 // the revision of every item that it returned.
-func (m *Mirror) detectSkippedChange(items []Item, cursor int64) {
+func (m *Mirror) detectSkippedChange(items []Item, cursor epoch.Revision) {
 	last := m.cursor
 	for _, it := range items {
-		last = max(last, it.Revision)
+		last = epoch.Latest(last, it.Revision)
 	}
-	m.changeSkipped = m.changeSkipped || m.opts.Prefix == "" && cursor > last
+	m.changeSkipped = m.changeSkipped || m.opts.Prefix == "" && cursor.After(last)
 }
 
 // scheduleReread sets when the next full read because of a skipped change may
@@ -320,12 +334,12 @@
 
 type watchResult struct {
 	items  []Item
-	cursor int64
+	cursor epoch.Revision
 }
 
 // watch waits up to the given time for changes after the cursor and returns them with the
 // new cursor. It fails with errRefresh when Refresh is called meanwhile.
-func (m *Mirror) watch(ctx context.Context, wait time.Duration) ([]Item, int64, error) {
+func (m *Mirror) watch(ctx context.Context, wait time.Duration) ([]Item, epoch.Revision, error) {
 	prefix, after := m.opts.Prefix, m.cursor
 	got, err := hedge(ctx, m, wait+watchGrace, m.refresh, func(ctx context.Context, hedged bool) (watchResult, error) {
 		wait := wait
@@ -345,14 +359,16 @@
 		return err
 	}
 	items, cursor := m.fullRead.items, m.fullRead.revision
-	m.behind = m.fullRead.newest > cursor
+	m.behind = m.fullRead.newest.After(cursor)
 	m.fullRead = nil
 	m.markOutageEnd()
 	m.cursor = cursor
+	m.enterEra(items)
 	found := make(map[string]bool, len(items))
 	for _, it := range items {
 		found[it.Key] = true
 	}
+	m.rewinds.keepFound(found)
 	for key := range m.entries {
 		if !found[key] {
 			items = append(items, Item{Key: key, Revision: cursor})
@@ -382,15 +398,22 @@
 		if err != nil {
 			return err
 		}
+		if page.Revision.Era() < max(m.era, r.revision.Era()) {
+			return errEarlierEra
+		}
 		r.progressed, m.readAt = true, time.Now()
+		if !r.revision.IsZero() && page.Revision.Era() > r.revision.Era() {
+			*r = fullRead{progressed: true}
+			continue
+		}
 		if !m.fullReadDone {
 			// Reading all pages may take long, and a partial snapshot is better than none.
 			m.apply(page.Items)
 		}
-		if r.revision == 0 {
+		if r.revision.IsZero() {
 			r.revision = page.Revision
 		}
-		r.newest = max(r.newest, page.Revision)
+		r.newest = epoch.Latest(r.newest, page.Revision)
 		r.items = append(r.items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return nil
@@ -412,13 +435,14 @@
 func (m *Mirror) apply(items []Item) bool {
 	now := time.Now()
 	changed := false
-	for _, it := range items {
-		if it.Revision < m.revisions[it.Key] {
+	for _, it := range append(m.reveal(now), items...) {
+		if m.revisions[it.Key].After(it.Revision) || m.rewinds.isOutdated(now, it) {
 			// A page or watch may return an older state than one applied before.
 			continue
 		}
-		_, held := m.entries[it.Key]
-		m.foundNewer = m.foundNewer || it.Revision > m.revisions[it.Key] && (held || it.Value != nil)
+		value, held := m.entries[it.Key]
+		m.foundNewer = m.foundNewer || it.Revision.After(m.revisions[it.Key]) && (held || it.Value != nil)
+		m.rewinds.noteWrite(now, m.revisions[it.Key], value, it)
 		m.revisions[it.Key] = it.Revision
 		if it.Value != nil {
 			delete(m.retained, it.Key)
@@ -487,8 +511,8 @@
 	return until
 }
 
-// nextExpiry returns when the next retained entry expires, or false if there is
-// none.
+// nextExpiry returns when the next retained entry expires or hidden entry counts again, or
+// false if there is none.
 func (m *Mirror) nextExpiry() (time.Time, bool) {
 	var earliest time.Time
 	for _, at := range m.retained {
@@ -496,6 +520,11 @@
 			earliest = at
 		}
 	}
+	for _, h := range m.rewinds.hidden {
+		if earliest.IsZero() || h.until.Before(earliest) {
+			earliest = h.until
+		}
+	}
 	return earliest, !earliest.IsZero()
 }
 
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -15,6 +15,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"chervilreach/core/epoch"
 )
 
 var errDown = errors.New("store is down")
@@ -22,10 +24,11 @@
 // fakeStore is a store in memory that keeps its whole history until compact is
 // called.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]Item
-	history  []Item
+	mu sync.Mutex
+	// era counts the returns from a copy.
+	era, revision int64
+	items         map[string]Item
+	history       []Item
 	// oldestRevision is the revision up to which the history has been compacted.
 	oldestRevision int64
 	down           bool
@@ -33,6 +36,8 @@
 	// the current revision.
 	dropChanges   bool
 	pageReadCount int
+	// pollInterval is how often a watch looks for changes; 0 means 1 ms.
+	pollInterval time.Duration
 	// pageSize is the number of items in a page, or 0 for no limit. pageDelay is how
 	// long a call of Page takes. The first of every failEvery calls fails, or none if
 	// it is 0.
@@ -47,7 +52,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision++
-	it := Item{Key: key, Value: []byte(value), Revision: f.revision}
+	it := Item{Key: key, Value: []byte(value), Revision: f.current()}
 	f.items[key] = it
 	f.history = append(f.history, it)
 }
@@ -57,9 +62,12 @@
 	defer f.mu.Unlock()
 	f.revision++
 	delete(f.items, key)
-	f.history = append(f.history, Item{Key: key, Revision: f.revision})
+	f.history = append(f.history, Item{Key: key, Revision: f.current()})
 }
 
+// current returns the current revision. The caller holds mu.
+func (f *fakeStore) current() epoch.Revision { return epoch.At(f.era, f.revision) }
+
 // withLock calls fn, which may read and set any field, with mu held.
 func (f *fakeStore) withLock(fn func()) {
 	f.mu.Lock()
@@ -84,7 +92,7 @@
 	if f.down || f.failEvery > 0 && f.pageReadCount%f.failEvery == 1 {
 		return Page{}, errDown
 	}
-	page := Page{Revision: f.revision}
+	page := Page{Revision: f.current()}
 	for _, key := range slices.Sorted(maps.Keys(f.items)) {
 		if !strings.HasPrefix(key, prefix) || key <= after {
 			continue
@@ -98,7 +106,7 @@
 	return page, nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (f *fakeStore) Watch(ctx context.Context, prefix string, after epoch.Revision, wait time.Duration) ([]Item, epoch.Revision, error) {
 	until := time.Now().Add(wait)
 	for {
 		list, next, err := f.since(prefix, after)
@@ -107,32 +115,33 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		case <-time.After(time.Millisecond):
+			return nil, epoch.Revision{}, ctx.Err()
+		case <-time.After(max(f.pollInterval, time.Millisecond)):
 		}
 	}
 }
 
 // since returns the changes after a revision, and the current revision.
-func (f *fakeStore) since(prefix string, after int64) ([]Item, int64, error) {
+func (f *fakeStore) since(prefix string, after epoch.Revision) ([]Item, epoch.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, errDown
+		return nil, epoch.Revision{}, errDown
 	}
 	if f.dropChanges {
-		return nil, f.revision, nil
+		return nil, f.current(), nil
 	}
-	if after < f.oldestRevision {
-		return nil, 0, fmt.Errorf("watch: %w", ErrCompacted)
+	_, number := after.Wire()
+	if number < f.oldestRevision || number > f.revision {
+		return nil, epoch.Revision{}, fmt.Errorf("watch: %w", ErrCompacted)
 	}
 	var list []Item
 	for _, it := range f.history {
-		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+		if it.Revision.After(epoch.At(f.era, number)) && strings.HasPrefix(it.Key, prefix) {
 			list = append(list, it)
 		}
 	}
-	return list, f.revision, nil
+	return list, f.current(), nil
 }
 
 // startMirror runs a mirror of the keys under p/ until the test ends. The returned
@@ -246,12 +255,12 @@
 // A page or watch may return an item older than one applied before.
 func TestOlderItemsAreLeftOut(t *testing.T) {
 	m := New(Options{OnChange: func(Snapshot) {}})
-	m.apply([]Item{{Key: "a", Value: []byte("new"), Revision: 7}})
-	m.apply([]Item{{Key: "a", Value: []byte("old"), Revision: 5}})
+	m.apply([]Item{{Key: "a", Value: []byte("new"), Revision: epoch.At(0, 7)}})
+	m.apply([]Item{{Key: "a", Value: []byte("old"), Revision: epoch.At(0, 5)}})
 	assert.Equal(t, "new", string(m.entries["a"]))
-	m.apply([]Item{{Key: "a", Revision: 6}})
+	m.apply([]Item{{Key: "a", Revision: epoch.At(0, 6)}})
 	assert.Equal(t, "new", string(m.entries["a"]))
-	m.apply([]Item{{Key: "a", Revision: 8}})
+	m.apply([]Item{{Key: "a", Revision: epoch.At(0, 8)}})
 	assert.Empty(t, m.entries)
 }
 
@@ -359,7 +368,7 @@
 	refresh func()
 }
 
-func (s *refreshingStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (s *refreshingStore) Watch(ctx context.Context, prefix string, after epoch.Revision, wait time.Duration) ([]Item, epoch.Revision, error) {
 	items, next, err := s.fakeStore.Watch(ctx, prefix, after, wait)
 	var refresh func()
 	s.withLock(func() { refresh, s.refresh = s.refresh, nil })
--- a/io/mirror/unseen.go
+++ b/io/mirror/unseen.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"time"
+
+	"chervilreach/core/epoch"
 )
 
 // reportUnseen calls OnUnseen if none of the items has one of the revisions since the last call, up
 // to the cursor.
 func (m *Mirror) reportUnseen(items []Item) {
 	unseen := latestUnseen(items, m.seenRevision, m.cursor)
-	m.seenRevision = max(m.seenRevision, m.cursor)
-	if unseen > 0 && m.opts.OnUnseen != nil {
+	m.seenRevision = epoch.Latest(m.seenRevision, m.cursor)
+	if !unseen.IsZero() && m.opts.OnUnseen != nil {
 		m.opts.OnUnseen(unseen)
 	}
 }
@@ -30,21 +32,22 @@
 				continue
 			}
 		}
-		m.cursor, m.rereadNow = 0, true
+		m.cursor, m.rereadNow = epoch.Revision{}, true
 		return
 	}
 }
 
-// latestUnseen returns the latest revision after from, up to to, that no item has; 0 if there is none.
-func latestUnseen(items []Item, from, to int64) int64 {
-	seen := make(map[int64]bool, len(items))
+// latestUnseen returns the latest revision after from, up to to, that no item has; zero if there is none.
+// Of the earlier eras it returns none.
+func latestUnseen(items []Item, from, to epoch.Revision) epoch.Revision {
+	seen := make(map[epoch.Revision]bool, len(items))
 	for _, it := range items {
 		seen[it.Revision] = true
 	}
-	for ; to > from; to-- {
+	for from = epoch.Latest(from, epoch.At(to.Era(), 0)); to.After(from); to = to.Previous() {
 		if !seen[to] {
 			return to
 		}
 	}
-	return 0
+	return epoch.Revision{}
 }
--- a/io/mirror/unseen_test.go
+++ b/io/mirror/unseen_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+
+	"chervilreach/core/epoch"
 )
 
 // watchedMirror is a mirror of the keys under p/ that keeps what it reports.
@@ -18,8 +20,8 @@
 	// mu guards the fields that follow but watching.
 	mu       sync.Mutex
 	entries  map[string][]byte
-	unseen   []int64
-	reads    []int64
+	unseen   []epoch.Revision
+	reads    []epoch.Revision
 	watching atomic.Bool
 }
 
@@ -36,8 +38,8 @@
 	m.Mirror = New(Options{
 		Store: f, Prefix: "p/", WatchPause: time.Millisecond, WatchWait: 50 * time.Millisecond, Log: zerolog.Nop(),
 		OnChange: func(s Snapshot) { m.do(func() { m.entries = s.Entries }) }, Watching: m.watching.Load,
-		OnFullRead: func(revision int64) { m.do(func() { m.reads = append(m.reads, revision) }) },
-		OnUnseen:   func(revision int64) { m.do(func() { m.unseen = append(m.unseen, revision) }) },
+		OnFullRead: func(revision epoch.Revision) { m.do(func() { m.reads = append(m.reads, revision) }) },
+		OnUnseen:   func(revision epoch.Revision) { m.do(func() { m.unseen = append(m.unseen, revision) }) },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -49,24 +51,24 @@
 func TestUnseenRevisions(t *testing.T) {
 	for name, c := range map[string]struct {
 		change func(f *fakeStore, m *watchedMirror)
-		want   []int64
+		want   []epoch.Revision
 	}{
 		"key of the prefix": {func(f *fakeStore, _ *watchedMirror) { f.put("p/a", "2"); f.remove("p/a") }, nil},
-		"other key":         {func(f *fakeStore, _ *watchedMirror) { f.put("q/x", "1") }, []int64{2}},
+		"other key":         {func(f *fakeStore, _ *watchedMirror) { f.put("q/x", "1") }, []epoch.Revision{epoch.At(0, 2)}},
 		"other key between others": {func(f *fakeStore, _ *watchedMirror) {
 			f.withLock(func() { f.dropChanges = false })
 			f.mu.Lock()
 			for _, key := range []string{"p/a", "q/x", "p/a"} {
 				f.revision++
-				it := Item{Key: key, Value: []byte("x"), Revision: f.revision}
+				it := Item{Key: key, Value: []byte("x"), Revision: f.current()}
 				f.items[key], f.history = it, append(f.history, it)
 			}
 			f.mu.Unlock()
-		}, []int64{3}},
+		}, []epoch.Revision{epoch.At(0, 3)}},
 		"watch skips a change": {func(f *fakeStore, _ *watchedMirror) {
 			f.withLock(func() { f.dropChanges = true })
 			f.put("p/a", "2")
-		}, []int64{2}},
+		}, []epoch.Revision{epoch.At(0, 2)}},
 		"full read of what was seen": {func(_ *fakeStore, m *watchedMirror) { m.Refresh() }, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -103,6 +105,6 @@
 		m.watching.Store(true)
 		time.Sleep(time.Second)
 		m.do(func() { assert.Equal(t, "4", string(m.entries["p/a"])) })
-		m.do(func() { assert.Equal(t, []int64{1, 3, 4}, m.reads) })
+		m.do(func() { assert.Equal(t, []epoch.Revision{epoch.At(0, 1), epoch.At(0, 3), epoch.At(0, 4)}, m.reads) })
 	})
 }
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"chervilreach/config"
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/core/fleet"
 	"chervilreach/core/route"
@@ -100,7 +101,7 @@
 	s.mirror = mirror.New(mirror.Options{
 		Store: platform.Store, Prefix: platform.Prefix, WatchPause: watchPause, WatchWait: watchWait, Log: log.Logger,
 		OnChange: s.onStoreChange, Watching: s.watchesRoutes,
-		OnFullRead: func(revision int64) { s.daemon.ConfirmRoutes(revision) },
+		OnFullRead: func(revision epoch.Revision) { s.daemon.ConfirmRoutes(revision) },
 	})
 	s.daemon = swapd.New(swapd.Options{
 		Endpoint: platform.Endpoint, Log: log.Logger, Clock: clock, Recorder: s.recorder, Metrics: s.registry,
--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/core/poison"
 	"chervilreach/core/relay"
@@ -56,13 +57,13 @@
 	Version() int64
 	// Offer adopts a document, and OfferDeltas the one to which deltas lead, unless the current one is
 	// as new. revision is a revision of the store at which it was the newest.
-	Offer(document []byte, source string, revision int64, readAt time.Time) error
-	OfferDeltas(list []delta.Delta, source string, revision int64, readAt time.Time) error
+	Offer(document []byte, source string, revision epoch.Revision, readAt time.Time) error
+	OfferDeltas(list []delta.Delta, source string, revision epoch.Revision, readAt time.Time) error
 	// Confirm notes that a version was the newest at a revision of the store.
-	Confirm(version, revision int64)
-	// UnseenRevision returns a revision of the store at which there may be a newer version; 0 if there
-	// is none.
-	UnseenRevision() int64
+	Confirm(version int64, revision epoch.Revision)
+	// UnseenRevision returns a revision of the store at which there may be a newer version; zero if
+	// there is none.
+	UnseenRevision() epoch.Revision
 	// Want notes a version that an agent has and has not sent in time.
 	Want(version int64)
 }
--- a/io/relayd/origins.go
+++ b/io/relayd/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/core/relay"
 	"chervilreach/io/wire"
@@ -17,7 +18,7 @@
 	ReadVersions(ctx context.Context) ([]relay.VersionsRecord, error)
 	// WriteVersions writes a record if its revision is still the one given, and returns the new revision.
 	// With an error, the record may have been written nevertheless.
-	WriteVersions(ctx context.Context, rec relay.VersionsRecord) (int64, error)
+	WriteVersions(ctx context.Context, rec relay.VersionsRecord) (epoch.Revision, error)
 }
 
 // versionsTimeout bounds a call of the store for versions.
--- a/io/relayd/sources.go
+++ b/io/relayd/sources.go
@@ -140,7 +140,8 @@
 		return err
 	}
 	version := a.d.opts.Routes.Version()
-	request := &wirepb.Routes{Version: version, AcceptsDeltas: true, UnseenRevision: a.d.opts.Routes.UnseenRevision()}
+	request := &wirepb.Routes{Version: version, AcceptsDeltas: true}
+	request.UnseenEra, request.UnseenRevision = a.d.opts.Routes.UnseenRevision().Wire()
 	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: request}}); err != nil {
 		return err
 	}
@@ -163,13 +164,13 @@
 			return err
 		}
 		if len(list) == 0 {
-			return feed.Offer(document, instance, m.GetStoreRevision(), readAt)
+			return feed.Offer(document, instance, wire.StoreRevision(m), readAt)
 		}
-		return feed.OfferDeltas(list, instance, m.GetStoreRevision(), readAt)
+		return feed.OfferDeltas(list, instance, wire.StoreRevision(m), readAt)
 	case len(m.GetDocument()) > 0:
-		return feed.Offer(m.GetDocument(), instance, m.GetStoreRevision(), readAt)
+		return feed.Offer(m.GetDocument(), instance, wire.StoreRevision(m), readAt)
 	default:
-		feed.Confirm(m.GetVersion(), m.GetStoreRevision())
+		feed.Confirm(m.GetVersion(), wire.StoreRevision(m))
 	}
 	return nil
 }
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/core/stock"
 	"chervilreach/core/swap"
@@ -85,7 +86,7 @@
 	// routes has the operator's routes as stored. routesRevision is a revision of the store at
 	// which they were the newest.
 	routes         delta.History
-	routesRevision int64
+	routesRevision epoch.Revision
 	// routesChanges caches what leads to the latest routes, by the version that a router has.
 	routesChanges map[int64][]byte
 	// routesAskedAt is the time at which a router last asked for routes.
--- a/io/swapd/routes.go
+++ b/io/swapd/routes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chervilreach/core/epoch"
 	"chervilreach/core/route"
 	"chervilreach/core/swap"
 	"chervilreach/io/wire"
@@ -34,10 +35,10 @@
 }
 
 // ConfirmRoutes notes that the routes were the newest at a revision of the store.
-func (d *Daemon) ConfirmRoutes(revision int64) {
+func (d *Daemon) ConfirmRoutes(revision epoch.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.routesRevision = max(d.routesRevision, revision)
+	d.routesRevision = epoch.Latest(d.routesRevision, revision)
 }
 
 // RoutesVersion returns the version of the agent's routes; 0 if it has none.
@@ -58,7 +59,7 @@
 // sendRoutes answers a router's request for the routes.
 func (d *Daemon) sendRoutes(s *wire.Stream, ask *wirepb.Routes) {
 	answer := d.routesSince(ask)
-	if ask.GetUnseenRevision() > answer.GetStoreRevision() {
+	if wire.UnseenRevision(ask).After(wire.StoreRevision(answer)) {
 		d.opts.OnRoutesDoubted()
 	}
 	if err := s.Send(&wirepb.Frame{Body: &wirepb.Frame_Routes{Routes: answer}}); err != nil {
@@ -73,7 +74,8 @@
 	defer d.mu.Unlock()
 	d.routesAskedAt = time.Now()
 	version, document := d.routes.Latest()
-	answer := &wirepb.Routes{Version: version, StoreRevision: d.routesRevision}
+	answer := &wirepb.Routes{Version: version}
+	answer.StoreEra, answer.StoreRevision = d.routesRevision.Wire()
 	if !ask.GetAcceptsDeltas() {
 		answer.Document = document
 		return answer
--- a/io/swapd/routes_test.go
+++ b/io/swapd/routes_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/io/line"
 	"chervilreach/io/wire"
@@ -30,8 +31,10 @@
 	}
 	// An older version must not replace a newer one.
 	d.AdoptRoutes(nil, 7, routesDocument(7))
-	d.ConfirmRoutes(140)
-	d.ConfirmRoutes(120)
+	d.ConfirmRoutes(epoch.At(3, 140))
+	d.ConfirmRoutes(epoch.At(3, 120))
+	// The revision of an earlier era is earlier, whatever its number.
+	d.ConfirmRoutes(epoch.At(2, 160))
 	for name, c := range map[string]struct {
 		ask    *wirepb.Routes
 		deltas int
@@ -49,7 +52,7 @@
 		t.Run(name, func(t *testing.T) {
 			got := d.routesSince(c.ask)
 			assert.EqualValues(t, 40, got.GetVersion())
-			assert.EqualValues(t, 140, got.GetStoreRevision())
+			assert.Equal(t, epoch.At(3, 140), wire.StoreRevision(got))
 			var list []delta.Delta
 			whole := got.GetDocument()
 			if got.GetChanges() != nil {
--- a/io/wire/routes.go
+++ b/io/wire/routes.go
@@ -11,12 +11,25 @@
 	"google.golang.org/protobuf/proto"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/io/wire/wirepb"
 )
 
 // ErrBadChanges means that changes of the routes can't be decoded.
 var ErrBadChanges = errors.New("malformed changes of routes")
 
+// StoreRevision returns the revision of the store at which the version in a message was the newest; zero
+// if unknown.
+func StoreRevision(m *wirepb.Routes) epoch.Revision {
+	return epoch.At(m.GetStoreEra(), m.GetStoreRevision())
+}
+
+// UnseenRevision returns the revision of the store at which the sender of a message takes a newer version
+// for possible; zero if there is none.
+func UnseenRevision(m *wirepb.Routes) epoch.Revision {
+	return epoch.At(m.GetUnseenEra(), m.GetUnseenRevision())
+}
+
 // EncodeChanges returns the compressed changes that lead to a version of the routes: deltas or, if
 // there are none, the document.
 func EncodeChanges(list []delta.Delta, document []byte) ([]byte, error) {
