--- a/core/relay/outofstep_test.go
+++ b/core/relay/outofstep_test.go
@@ -8,13 +8,14 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/core/stock"
 )
 
 // record is what the store has of the test service.
 func record(revision int64, versions ...string) VersionsRead {
-	return VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: versions, Revision: revision}}}
+	return VersionsRead{Records: []VersionsRecord{{Service: llm, Versions: versions, Revision: epoch.At(0, revision)}}}
 }
 
 // newOutOfStepRouter returns a router that lists two endpoints with v1 and has read a record with that
--- a/io/mirror/retain.go
+++ b/io/mirror/retain.go
@@ -11,7 +11,7 @@
 // anew with each write, as far as is known.
 func (m *Mirror) noteCreation(it Item) {
 	m.creations[it.Key] = it.CreateRevision
-	if it.CreateRevision == 0 {
+	if it.CreateRevision.IsZero() {
 		m.creations[it.Key] = it.Revision
 	}
 }
