core/relay: a list makes no endpoint ready that says that it leaves

Cause: one flag held the words of all sources, and a list entry that differed from it was applied as changed. An entry of an endpoint that never reports draining is ready until it is removed, and a stale copy is older than the agent's word.

Change: the list, the agent, the endpoint's own answers and another instance at its address have a word each, which only a later word of the same source or a new incarnation replaces; the flag is derived from them. That another instance answered is forgotten once a list read 4 s later still has the entry.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -43,7 +43,8 @@
 		if !e.Leaving {
 			s.reportCrash(e)
 		}
-		e.Leaving = true
+		e.leaving.replacedAt = s.now
+		e.deriveLeaving()
 		s.retryOrRefuse(r, e)
 	case ModelMissing:
 		s.removeMissingItem(r, e)
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -73,6 +73,9 @@
 	tokensPerMS float64
 	// listedStock is the state of the endpoint's models according to the endpoint list.
 	listedStock stock.Report
+	// leaving is what each source says of the endpoint's leaving. Leaving, of the embedded entry, is
+	// derived from it.
+	leaving leavingWords
 	// doubt is set while the list has no entry of the endpoint that can be believed.
 	doubt *entryDoubt
 	// lastDemand is the demand last sent to the agent; zero if the agent is not connected.
@@ -115,7 +118,7 @@
 }
 
 func newEndpoint(m EndpointEntry, now time.Time) *endpoint {
-	return &endpoint{EndpointEntry: m, listedStock: m.Stock, listedAt: now, modelAttemptCounts: make(map[string]int), adapterAttemptCounts: make(map[stock.Item]int), tokensPerMS: initialTokensPerMS}
+	return &endpoint{EndpointEntry: m, leaving: leavingWords{listed: m.Leaving}, listedStock: m.Stock, listedAt: now, modelAttemptCounts: make(map[string]int), adapterAttemptCounts: make(map[stock.Item]int), tokensPerMS: initialTokensPerMS}
 }
 
 // isNewIncarnation reports whether the entry m is for another incarnation of the same
@@ -133,7 +136,7 @@
 		return false
 	}
 	return e.Service == m.Service && e.Address == m.Address && e.FailureDomain == m.FailureDomain &&
-		e.Slots == m.Slots && e.Leaving == m.Leaving && e.HasModels == m.HasModels && e.Born == m.Born && e.Software == m.Software &&
+		e.Slots == m.Slots && e.leaving.listed == m.Leaving && e.HasModels == m.HasModels && e.Born == m.Born && e.Software == m.Software &&
 		slices.EqualFunc(e.listedStock.Models, m.Stock.Models, stock.LoadedModel.Equal) && e.listedStock.Copies.Equal(m.Stock.Copies)
 }
 
@@ -145,6 +148,8 @@
 		m.Software = ""
 	}
 	e.EndpointEntry, e.listedStock = m, m.Stock
+	e.leaving.listed = m.Leaving
+	e.deriveLeaving()
 	if e.hasAgent {
 		e.Stock = known
 		return
@@ -165,9 +170,8 @@
 	e.hasAgent = true
 	e.attemptCountSinceReport, e.attemptCountBeforeReport = 0, e.attemptCountSinceReport
 	e.otherRouterRequestCount = max(r.Running+r.Waiting-e.runningAttemptCount, 0)
-	if r.Leaving {
-		e.Leaving = true
-	}
+	e.leaving.agent = r.Leaving
+	e.deriveLeaving()
 }
 
 // addAttempt counts an attempt that is being sent to the endpoint.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -26,6 +26,9 @@
 	for _, m := range ev.List {
 		e := old[m.Instance]
 		delete(old, m.Instance)
+		if e != nil {
+			e.outliveReplacement(ev.ReadAt)
+		}
 		switch {
 		case e == nil && m.Malformed:
 			continue
@@ -132,7 +135,7 @@
 	}
 	e.update(m)
 	e.doubt = nil
-	e.Leaving = e.Leaving || e.self.leaving
+	e.deriveLeaving()
 	s.index.add(e)
 	s.index.addFormerHolders(e, before)
 	return e
@@ -213,7 +216,7 @@
 	s.unassignLoads(e.Instance)
 	s.abortAttempts(e)
 	m := e.EndpointEntry
-	m.Instance, m.Leaving, m.Born, m.Software, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, "", stock.Report{}
+	m.Instance, m.Leaving, m.Born, m.Software, m.Stock = ev.Report.Instance, false, 0, "", stock.Report{}
 	next := newEndpoint(m, s.now)
 	next.tieBreak = s.tieBreakOf(m.Instance)
 	s.endpoints = insert(remove(s.endpoints, e), next)
--- a/core/relay/selfstatus.go
+++ b/core/relay/selfstatus.go
@@ -87,7 +87,7 @@
 		e.self.leaving = true
 		s.rememberLeft(e)
 		wasLeaving := e.Leaving
-		e.Leaving = true
+		e.deriveLeaving()
 		s.reportLeaving(e, wasLeaving, EndpointLeaving{Source: sourceEndpoint, Listed: true, ReadAt: s.now})
 		s.unassignLoadsIfLeaving(e)
 		s.dispatchWaiting()
