--- /dev/null
+++ b/io/relayd/review_silence_test.go
@@ -0,0 +1,48 @@
+package relayd
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"chervilreach/core/relay"
+)
+
+// pausingCaller does not read for a while after the first event.
+type pausingCaller struct {
+	*patientCaller
+	pause time.Duration
+	once  sync.Once
+}
+
+func (c *pausingCaller) Write(p []byte) (int, error) {
+	n, err := c.patientCaller.Write(p)
+	c.once.Do(func() { time.Sleep(c.pause) })
+	return n, err
+}
+
+// Guards against an endpoint that is taken for silent while its events wait for a caller that reads
+// slowly: the run has ended, the agent says so, and the abort loses the rest of the answer.
+func TestEventsThatWaitForTheCallerAreNoSilence(t *testing.T) {
+	t.Parallel()
+	const limit = 100 * time.Millisecond
+	x, w := newTestExchange(t)
+	x.w = &pausingCaller{patientCaller: w, pause: 4 * limit}
+	addr := serveOnce(t, func(conn net.Conn) {
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+
+			"9\r\ndata: a\n\n\r\n")
+		time.Sleep(limit / 2)
+		_, _ = fmt.Fprint(conn, "9\r\ndata: b\n\n\r\n0\r\n\r\n")
+		time.Sleep(20 * limit)
+	})
+	time.AfterFunc(3*limit, func() { x.abortAttempt(relay.AbortAttempt{Try: 1, Silence: 1}) })
+	x.attempt(t.Context(), relay.Send{
+		Try: 1, Address: addr, Deadline: time.Now().Add(10 * time.Second), FirstBy: time.Now().Add(limit), MaxGap: limit,
+	})
+	assert.Equal(t, "data: a\n\ndata: b\n\n", w.Body.String())
+	assert.Zero(t, x.silence.count, "silences")
+}
