--- a/io/relayd/review_silence_test.go
+++ b/io/relayd/review_silence_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"chervilreach/core/relay"
+	"chervilreach/core/route"
 )
 
 // pausingCaller does not read for a while after the first event.
@@ -46,3 +49,24 @@
 	assert.Equal(t, "data: a\n\ndata: b\n\n", w.Body.String())
 	assert.Zero(t, x.silence.count, "silences")
 }
+
+// Guards against an answer that is being received and is reported as silent, so that the router closes
+// its connection to send the request elsewhere.
+func TestAnswerThatArrivesIsNoSilence(t *testing.T) {
+	t.Parallel()
+	const limit = 200 * time.Millisecond
+	const part = maxBufferedBytes
+	x, w := newTestExchange(t)
+	x.route = &route.Route{Name: "safe", Kind: route.Safe}
+	addr := serveOnce(t, func(conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 10*part)
+		for range 10 {
+			_, _ = fmt.Fprint(conn, strings.Repeat("x", part))
+			time.Sleep(limit / 4)
+		}
+	})
+	time.AfterFunc(2*limit, func() { x.abortAttempt(relay.AbortAttempt{Try: 1, Silence: 1}) })
+	x.attempt(t.Context(), relay.Send{Try: 1, Address: addr, Deadline: time.Now().Add(10 * time.Second), FirstBy: time.Now().Add(limit)})
+	assert.Zero(t, x.silence.count, "silences")
+	require.Equal(t, 10*part, w.Body.Len())
+}
