--- a/io/relayd/review_silence_test.go
+++ b/io/relayd/review_silence_test.go
@@ -8,11 +8,14 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chervilreach/core/event"
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
+	"chervilreach/io/conns"
 )
 
 // pausingCaller does not read for a while after the first event.
@@ -70,3 +73,37 @@
 	assert.Zero(t, x.silence.count, "silences")
 	require.Equal(t, 10*part, w.Body.Len())
 }
+
+// Guards against a router that stands still for good: the loop waits for a lock that is held while an event
+// is posted, and the queue of events is full.
+func TestAbortDoesNotWaitForTheQueueOfEvents(t *testing.T) {
+	t.Parallel()
+	x, _ := newTestExchange(t)
+	x.d = New(Options{Log: zerolog.Nop(), HeaderCodec: plainCodec{}})
+	local, remote := net.Pipe()
+	defer func() { _ = remote.Close() }()
+	x.setConn(&conns.Conn{Conn: local}, 1)
+	x.startAlarm(relay.Send{Try: 1, FirstBy: time.Now().Add(time.Hour)})
+	x.silence.number = 1
+	full := make(chan struct{})
+	go func() {
+		defer close(full)
+		for range 1024 {
+			x.d.loop.Post(event.Tick{})
+		}
+	}()
+	<-full
+	go x.noteEvent(time.Second)
+	time.Sleep(50 * time.Millisecond)
+	aborted := make(chan struct{})
+	go func() {
+		// The loop executes this between two events.
+		x.abortAttempt(relay.AbortAttempt{Try: 1})
+		close(aborted)
+	}()
+	select {
+	case <-aborted:
+	case <-time.After(2 * time.Second):
+		t.Error("the loop does not go on")
+	}
+}
