--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chervilreach/core/route"
 	"chervilreach/core/stock"
 )
 
@@ -34,3 +35,31 @@
 	}
 	assert.Less(t, mute, streams/3, "streams sent to the endpoint that never answers")
 }
+
+// Guards against silent attempts that are aborted together although the budget allows fewer retries: the
+// others fail, while their endpoint works on them.
+func TestSilentAttemptsAreAbortedWithinTheRetryBudget(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", plain), testEntry("e2", plain))
+	cfg := router.state.cfg
+	cfg.RetryRatio, cfg.RetryExtra = 0, 1.5/budgetShare*float64(router.state.retryBudget.routerCount)
+	router.apply(SettingsChanged{Settings: cfg})
+	ids := make([]RequestID, 0, 8)
+	for range 8 {
+		ids = append(ids, router.arrive(plainRoute(route.Safe), stock.Item{}))
+	}
+	router.advance(800 * time.Millisecond)
+	var aborted []RequestID
+	for _, id := range ids {
+		router.silence(id)
+		for _, a := range effectsOf[AbortAttempt](router) {
+			aborted = append(aborted, a.ID)
+		}
+	}
+	failed := 0
+	for _, id := range aborted {
+		router.endAttempt(id, Broken)
+		failed += len(effectsOf[Fail](router))
+	}
+	require.NotEmpty(t, aborted)
+	assert.Zero(t, failed, "of %d that were aborted", len(aborted))
+}
