--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -63,3 +63,39 @@
 	require.NotEmpty(t, aborted)
 	assert.Zero(t, failed, "of %d that were aborted", len(aborted))
 }
+
+// Guards against silent attempts that are aborted while a router stops, although only some find a free
+// slot elsewhere: the others fail, while their endpoint works on them.
+func TestSilentAttemptsAreNotAbortedForAStopToFailThem(t *testing.T) {
+	other := testEntry("e2", plain)
+	other.Slots = 5
+	first := testEntry("e1", plain)
+	first.Slots = 4
+	router := newTestRouter(t, first, other)
+	ids := make([]RequestID, 0, 8)
+	at := make(map[RequestID]string)
+	for range 8 {
+		id := router.arrive(plainRoute(route.Safe), stock.Item{})
+		ids = append(ids, id)
+		at[id] = onlyEffect[Send](router).Instance
+	}
+	router.apply(ShutdownStarted{DrainAt: router.now.Add(time.Second), By: router.now.Add(1500 * time.Millisecond)})
+	router.advance(800 * time.Millisecond)
+	var aborted []RequestID
+	for _, id := range ids {
+		if at[id] != "e1" {
+			continue
+		}
+		router.silence(id)
+		for _, a := range effectsOf[AbortAttempt](router) {
+			aborted = append(aborted, a.ID)
+		}
+	}
+	require.NotEmpty(t, aborted)
+	failed := 0
+	for _, id := range aborted {
+		router.endAttempt(id, Broken)
+		failed += len(effectsOf[Fail](router))
+	}
+	assert.Zero(t, failed, "of %d that were aborted", len(aborted))
+}
