--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -99,3 +99,16 @@
 	}
 	assert.Zero(t, failed, "of %d that were aborted", len(aborted))
 }
+
+// Guards against a request that goes on elsewhere while the run that was given up may go on, because the
+// endpoint's entry is missing. Endpoints serve for a while after their entry is removed.
+func TestStuckRunMustEndThoughItsEndpointIsNoLongerListed(t *testing.T) {
+	router := newSilentStream(t)
+	wait := router.state.requests[1].callerPauseTimeout()
+	router.answerRun(stock.RunListed)
+	router.now = time.UnixMilli(1_000_000).Add(wait - wait/5)
+	router.answerRun(stock.RunListed)
+	router.endAttempt(1, Broken)
+	router.listEndpoints(testEntry("e2", llm))
+	assert.Empty(t, effectsOf[Send](router), "the run was listed at the last answer")
+}
