--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -112,3 +112,14 @@
 	router.listEndpoints(testEntry("e2", llm))
 	assert.Empty(t, effectsOf[Send](router), "the run was listed at the last answer")
 }
+
+// Guards against a run that is taken for gone by a late answer to a question of an earlier silence.
+func TestAnswerToAnEarlierSilenceIsNoEvidence(t *testing.T) {
+	router := newSilentStream(t)
+	router.apply(AttemptResumed{ID: 1, Number: 1})
+	router.apply(AttemptSilent{ID: 1, Try: 1, Number: 2, Since: router.now})
+	// The answer to the question of the first silence, then that to the question of the second.
+	router.apply(RunAnswered{ID: 1, Instance: "e1", State: stock.RunGone})
+	router.apply(RunAnswered{ID: 1, Instance: "e1", State: stock.RunGone})
+	assert.Empty(t, effectsOf[AbortAttempt](router))
+}
