--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -123,3 +123,19 @@
 	router.apply(RunAnswered{ID: 1, Instance: "e1", State: stock.RunGone})
 	assert.Empty(t, effectsOf[AbortAttempt](router))
 }
+
+// Guards against a herd of retries when all endpoints of a service fall silent together: nobody is at fault.
+func TestSafeRequestsAreNotAbortedWhileAllEndpointsAreSilent(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", plain), testEntry("e2", plain))
+	var ids []RequestID
+	for range 20 {
+		ids = append(ids, router.arrive(plainRoute(route.Safe), stock.Item{}))
+	}
+	router.advance(800 * time.Millisecond)
+	aborted := 0
+	for _, id := range ids {
+		router.silence(id)
+		aborted += len(effectsOf[AbortAttempt](router))
+	}
+	assert.Zero(t, aborted, "of %d", len(ids))
+}
