--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -139,3 +140,21 @@
 	}
 	assert.Zero(t, aborted, "of %d", len(ids))
 }
+
+// Guards against an endpoint that is never used, because the router read an entry of another writer before
+// the endpoint's own.
+func TestOwnEntryIsBelievedAfterAnOddOneThatWasReadFirst(t *testing.T) {
+	odd, own := testEntry("e1", plain), testEntry("e1", plain)
+	odd.Born, own.Born = 7, 7
+	odd.Address = netip.MustParseAddrPort("10.0.0.9:1")
+	router := newTestRouter(t, odd)
+	for range 60 {
+		router.advance(time.Second)
+		own.Slots++
+		router.listEndpoints(own)
+	}
+	id := router.arrive(plainRoute(route.Safe), stock.Item{})
+	sends := effectsOf[Send](router)
+	require.Len(t, sends, 1, "request %d", id)
+	assert.Equal(t, own.Address, sends[0].Address)
+}
