--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -158,3 +158,42 @@
 	require.Len(t, sends, 1, "request %d", id)
 	assert.Equal(t, own.Address, sends[0].Address)
 }
+
+// Guards against streams that are cut because an endpoint can't be reached for a moment, while the retry
+// budget allows only one of them to go on elsewhere.
+func TestStreamsAtAnUnreachableEndpointAreAbortedWithinTheRetryBudget(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm))
+	router.report("e1", withModels("a"))
+	router.report("e2", func(r *stock.Report) {
+		withModels("a")(r)
+		r.Running = 40
+	})
+	cfg := router.state.cfg
+	cfg.RetryRatio, cfg.RetryExtra = 0, 1.5/budgetShare*float64(router.state.retryBudget.routerCount)
+	router.apply(SettingsChanged{Settings: cfg})
+	var ids []RequestID
+	for range 5 {
+		id := router.arrive(streamRoute(), modelA)
+		require.Equal(t, "e1", onlyEffect[Send](router).Instance)
+		router.apply(AnswerStarted{ID: id})
+		ids = append(ids, id)
+	}
+	router.advance(time.Second)
+	for _, id := range ids {
+		router.silence(id)
+	}
+	router.advance(100 * time.Millisecond)
+	router.report("e2", withModels("a"))
+	for _, id := range ids {
+		router.apply(RunAnswered{ID: id, Instance: "e1", State: stock.RunUnanswered})
+	}
+	router.apply(PortChecked{Instance: "e1", Unreachable: true})
+	aborted := effectsOf[AbortAttempt](router)
+	require.NotEmpty(t, aborted)
+	failed := 0
+	for _, a := range aborted {
+		router.apply(AttemptEnded{ID: a.ID, Result: Broken, LastEvent: 3, Answering: true})
+		failed += len(effectsOf[Fail](router))
+	}
+	assert.Zero(t, failed, "of %d that were aborted", len(aborted))
+}
