--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -197,3 +197,20 @@
 	}
 	assert.Zero(t, failed, "of %d that were aborted", len(aborted))
 }
+
+// Guards against a run that is given up half a second after it was sent, because the request had waited
+// before: a prompt may take that long.
+func TestRunOfARequestThatHasWaitedHasTimeForItsFirstEvent(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm), testEntry("e3", llm))
+	for _, instance := range []string{"e1", "e2", "e3"} {
+		router.report(instance, withModels("a"))
+	}
+	id := router.arrive(streamRoute(), modelA)
+	router.advance(2600 * time.Millisecond)
+	router.endAttempt(id, Shed)
+	send := onlyEffect[Send](router)
+	router.advance(send.FirstBy.Sub(router.now))
+	router.silence(id)
+	router.apply(RunAnswered{ID: id, Instance: send.Instance, State: stock.RunListed})
+	assert.Empty(t, effectsOf[AbortAttempt](router), "%s after the start of the attempt", send.FirstBy.Sub(router.now.Add(-500*time.Millisecond)))
+}
