--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -214,3 +214,26 @@
 	router.apply(RunAnswered{ID: id, Instance: send.Instance, State: stock.RunListed})
 	assert.Empty(t, effectsOf[AbortAttempt](router), "%s after the start of the attempt", send.FirstBy.Sub(router.now.Add(-500*time.Millisecond)))
 }
+
+// Guards against a run that is given up because it pauses for a second and a half, while the endpoint
+// answers and works on it.
+func TestPauseOfARunDoesNotEndItsAttempt(t *testing.T) {
+	rt := streamRoute()
+	rt.Objective, rt.MaxGap = 400*time.Millisecond, 100*time.Millisecond
+	router := newTestRouter(t, testEntry("e1", llm), testEntry("e2", llm))
+	router.report("e1", withModels("a"))
+	router.report("e2", withModels("a"))
+	id := router.arrive(rt, modelA)
+	send := onlyEffect[Send](router)
+	router.apply(AnswerStarted{ID: id})
+	since := router.now
+	router.advance(send.MaxGap)
+	router.apply(AttemptSilent{ID: id, Try: 1, Number: 1, Since: since})
+	for router.now.Before(since.Add(1900 * time.Millisecond)) {
+		if len(effectsOf[AskRun](router)) > 0 {
+			router.apply(RunAnswered{ID: id, Instance: send.Instance, State: stock.RunListed})
+		}
+		require.Empty(t, effectsOf[AbortAttempt](router), "after %s", router.now.Sub(since))
+		router.advance(50 * time.Millisecond)
+	}
+}
