--- a/core/relay/review_silence_test.go
+++ b/core/relay/review_silence_test.go
@@ -237,3 +237,22 @@
 		router.advance(50 * time.Millisecond)
 	}
 }
+
+// Guards against accepted requests that are aborted because another writer has left an odd entry of a live
+// endpoint: one of an older or a much later incarnation.
+func TestOddIncarnationInAnEntryAbortsNothing(t *testing.T) {
+	for name, born := range map[string]int64{"older": 3, "later": 253_402_300_799_999} {
+		t.Run(name, func(t *testing.T) {
+			own := testEntry("e1", plain)
+			own.Born = 1_000_000
+			router := newTestRouter(t, own)
+			id := router.arrive(plainRoute(route.Unsafe), stock.Item{})
+			require.Equal(t, "e1", onlyEffect[Send](router).Instance, "request %d", id)
+			odd := own
+			odd.Born = born
+			odd.Address = netip.MustParseAddrPort("10.0.0.9:1")
+			router.listEndpoints(odd)
+			assert.Empty(t, effectsOf[AbortAttempt](router))
+		})
+	}
+}
