io/relayd, core/relay, io/mirror: faults found by review of the silence of attempts

Callers: a router could stop for good; requests were aborted for silence and then failed. - A silence was posted to the event loop under the lock that an abort waits for: with a full queue the loop and the exchange waited for each other. Events are posted after unlocking (TestAbortDoesNotWaitForTheQueueOfEvents). - Attempts that were silent together were aborted beyond the retry budget and failed; an abort counts its retry now (TestSilentAttemptsAreAbortedWithinTheRetryBudget, TestStreamsAtAnUnreachableEndpoint...). - Silence ends no attempt while the router stops (TestSilentAttemptsAreNotAbortedForAStopToFailThem; it asked for aborts that are served, and now for none). - A run that was sent late had no time for its first event (TestRunOfARequestThatHasWaited...). - A missing entry was read as the end of a run (TestStuckRunMustEndThoughItsEndpointIsNoLongerListed). - An endpoint whose callers leave in its silence counted as sound (TestEndpointWhoseCallersLeave...). - A caller that does not read, and a long plain answer that arrives, were taken for a silent endpoint (TestEventsThatWaitForTheCallerAreNoSilence, TestAnswerThatArrivesIsNoSilence).

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -9,7 +9,8 @@
 	if r == nil || r.target == nil {
 		return
 	}
-	e, given := r.target, s.endSilence(r)
+	e, silence := r.target, r.silence
+	given := s.endSilence(r)
 	if ev.Result == Broken {
 		s.noteLostAttempt(r, e, ev)
 	}
@@ -21,12 +22,13 @@
 	}
 	r.endpointFailed, r.wasShed = ev.Result == Failed, ev.Result == Shed
 	switch ev.Result {
-	case Done, Abandoned:
+	case Done:
 		e.recordOutcome(false, s.now)
-		if ev.Result == Done {
-			e.answeredAt = s.now
-			s.noteAnswered(r, ev.PromptServed)
-		}
+		e.answeredAt = s.now
+		s.noteAnswered(r, ev.PromptServed)
+		s.drop(r)
+	case Abandoned:
+		s.recordAbandoned(r, e, silence)
 		s.drop(r)
 	case Expired:
 		if !ev.Unsent {
@@ -69,6 +71,17 @@
 	s.dispatchWaiting()
 }
 
+// recordAbandoned records the outcome of an attempt whose caller has left: a failure if the endpoint alone
+// was silent, and a success if it had begun to answer.
+func (s *State) recordAbandoned(r *request, e *endpoint, silence *silence) {
+	switch {
+	case silence != nil && (s.othersHeard(e, silence.since) || !s.othersSilent(e)):
+		e.recordOutcome(true, s.now)
+	case silence == nil && r.answerBegan:
+		e.recordOutcome(false, s.now)
+	}
+}
+
 // removeMissingItem removes the requested item from the known stock of an endpoint that does
 // not hold it.
 func (s *State) removeMissingItem(r *request, e *endpoint) {
@@ -118,7 +131,7 @@
 		s.fail(r, MayHaveRun)
 	case r.possibleRunCount >= max(r.Route.MaxAttempts, 1):
 		s.fail(r, AttemptsFailed)
-	case !s.retryBudget.allowsRetry(s.now, r.Service):
+	case !r.retryCounted && !s.retryBudget.allowsRetry(s.now, r.Service):
 		s.emitCount("budget-spent")
 		s.fail(r, NoRetryBudget)
 	default:
--- a/core/relay/runcheck.go
+++ b/core/relay/runcheck.go
@@ -198,8 +198,10 @@
 	if c == nil {
 		return false
 	}
+	// An endpoint that is no longer listed may go on with its runs.
+	unknown := !c.wasListed && s.endpoint(c.endpoint.Instance) == nil
 	leftList := c.wasListed && (c.last == stock.RunGone || c.last == stock.RunUnlisted)
-	if leftList || c.runEnded() || c.isUnreachable() || s.endpoint(c.endpoint.Instance) == nil {
+	if leftList || c.runEnded() || c.isUnreachable() || unknown {
 		r.ending = nil
 		delete(s.checked, r.id)
 		return false
--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -124,7 +124,7 @@
 	}
 	s.judge(r, resumed)
 	// An abort has come too late.
-	r.silence.given = ""
+	r.silence.given, r.retryCounted = "", false
 	s.endSilence(r)
 	s.emitCount("silences.resumed")
 }
@@ -153,6 +153,11 @@
 	}
 	if d := s.decide(r); d != waited {
 		l.given = d
+		if d != runEnded {
+			// Attempts that are aborted at once share the budget.
+			s.retryBudget.countRetry(s.now, r.Service)
+			r.retryCounted = true
+		}
 		s.emitCount("silences." + string(d))
 		s.judge(r, d)
 		s.emit(AbortAttempt{ID: r.id, Try: r.attemptCount, Silence: l.number})
@@ -194,9 +199,6 @@
 // stuckAt returns the time at which a silent stream is given up if its endpoint answers.
 func (r *request) stuckAt() time.Time {
 	since := r.silence.since
-	if !r.partlyAnswered && !r.answerBegan {
-		since = r.arrivedAt
-	}
 	wait := r.callerPauseTimeout()
 	return since.Add(wait - time.Duration(stuckReserve*float64(wait)))
 }
@@ -204,7 +206,7 @@
 // mayGoOn reports whether the request may be sent to another endpoint now, after the attempt in
 // progress, and another can take it.
 func (s *State) mayGoOn(r *request) bool {
-	return r.Route.Idempotent() && r.possibleRunCount+1 < r.Route.MaxAttempts &&
+	return s.shutdownEndBy.IsZero() && r.Route.Idempotent() && r.possibleRunCount+1 < r.Route.MaxAttempts &&
 		s.retryBudget.allowsRetry(s.now, r.Service) && s.hasOtherEndpoint(r, r.target)
 }
 
@@ -225,6 +227,16 @@
 	})
 }
 
+// othersSilent reports whether an attempt at another endpoint of the service than e is silent.
+func (s *State) othersSilent(e *endpoint) bool {
+	for _, r := range s.checked {
+		if r.silence != nil && r.target != nil && r.target != e && r.target.Service == e.Service {
+			return true
+		}
+	}
+	return false
+}
+
 // judge reports a decision on the silence of a request's attempt.
 func (s *State) judge(r *request, d Decision) {
 	s.emit(SilenceJudged{ID: r.id, Endpoint: r.target.Instance, Decision: d, Since: r.silence.since, Run: r.silence.check.last})
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -132,6 +132,8 @@
 	lookup *originLookup
 	// silence is the silence of the attempt in progress; nil if there is none.
 	silence *silence
+	// retryCounted reports whether the next attempt is counted in the retry budget already.
+	retryCounted bool
 	// ending is the check of a run that the router has given up and that may go on; nil if there is none.
 	ending *runCheck
 	// joinedLoad is the load that the request waits for; zero if there is none.
@@ -318,9 +320,10 @@
 	if e.self.returning {
 		e.self.trial = r.id
 	}
-	if r.attemptCount > 1 {
+	if r.attemptCount > 1 && !r.retryCounted {
 		s.retryBudget.countRetry(s.now, r.Service)
 	}
+	r.retryCounted = false
 	s.promptIndex.addParts(r, e.Instance)
 	firstBy, maxGap := s.silenceLimits(r)
 	s.emit(Send{
--- a/io/mirror/hedge.go
+++ b/io/mirror/hedge.go
@@ -58,7 +58,7 @@
 		}
 		select {
 		case <-expiry:
-			m.expireAndNotify(time.Now())
+			m.expireAndNotify()
 		case a := <-answers:
 			inFlight--
 			if a.err == nil || errors.Is(a.err, ErrCompacted) || inFlight == 0 {
@@ -72,7 +72,7 @@
 				m.markOutage(errTimeout)
 			}
 			hedging = true
-			m.expireAndNotify(time.Now())
+			m.expireAndNotify()
 			start(true)
 			timer.Reset(hedgeTimeout)
 		case <-refresh:
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -237,7 +237,7 @@
 			return
 		}
 		m.markOutage(err)
-		m.expireAndNotify(time.Now())
+		m.expireAndNotify()
 		if m.fullRead != nil && m.fullRead.progressed {
 			pause, m.fullRead.progressed = minBackoff, false
 		}
@@ -262,7 +262,7 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		m.expireAndNotify(now)
+		m.expireAndNotify()
 		if !now.Before(end) {
 			return
 		}
@@ -499,13 +499,9 @@
 	return changed
 }
 
-// expireAndNotify drops expired retained entries while the store does not answer, and calls
-// OnChange if there were any.
-func (m *Mirror) expireAndNotify(now time.Time) {
-	if m.removeExpired(now) {
-		m.notify()
-	}
-}
+// expireAndNotify drops expired retained entries and reveals hidden ones while the store does not
+// answer, and calls OnChange if there were any.
+func (m *Mirror) expireAndNotify() { m.apply(nil) }
 
 // notify passes a copy of the entries to OnChange.
 func (m *Mirror) notify() {
--- a/io/mirror/retain.go
+++ b/io/mirror/retain.go
@@ -58,6 +58,10 @@
 	count := 0
 	for key, creation := range m.beforeOutage {
 		_, missing := m.retained[key]
+		if creation.Era() != m.era {
+			// A copy from which the store came back tells nothing of the leases.
+			continue
+		}
 		if !missing && !removed[key] && m.creations[key] == creation {
 			count++
 		}
--- a/io/relayd/caller.go
+++ b/io/relayd/caller.go
@@ -59,6 +59,8 @@
 	if err := c.x.extendWriteDeadline(); err != nil {
 		return 0, err
 	}
+	c.x.setWriting(true)
+	defer c.x.setWriting(false)
 	n, err := c.x.w.Write(p)
 	if err != nil {
 		return n, fmt.Errorf("write to caller: %w: %w", errCallerGone, err)
--- a/io/relayd/forward.go
+++ b/io/relayd/forward.go
@@ -23,6 +23,7 @@
 		ended.Result, ended.PromptServed = relay.Done, hasEvents
 		return x.extendWriteDeadline()
 	}
+	x.endAlarm()
 	if x.headerSent {
 		return fmt.Errorf("status %d: %w", resp.StatusCode, errNotResumed)
 	}
--- a/io/relayd/silence.go
+++ b/io/relayd/silence.go
@@ -15,6 +15,9 @@
 // endpoint twice at most before it answers.
 const runTimeout = 800 * time.Millisecond
 
+// writingRecheck is the time after which a write to the caller is looked at again.
+const writingRecheck = 100 * time.Millisecond
+
 // silenceAlarm reports the silence of an attempt. exchange.mu guards it.
 type silenceAlarm struct {
 	// timer fires at the time at or before it; nil if silence is not reported.
@@ -25,6 +28,8 @@
 	// count is the number of silences of the request so far, number that of the silence in progress; 0
 	// if there is none.
 	count, number int
+	// writing reports whether a part of the answer is being written to the caller.
+	writing bool
 }
 
 // stop ends the alarm of an attempt.
@@ -48,37 +53,78 @@
 
 // reportSilence reports the attempt as silent if it is. It may be called from any goroutine.
 func (x *exchange) reportSilence(attemptNumber int) {
+	if ev, silent := x.beginSilence(attemptNumber); silent {
+		// The loop may wait for x.mu while its queue is full.
+		x.d.loop.Post(ev)
+	}
+}
+
+// beginSilence notes that an attempt is silent. It returns false if the attempt is not.
+func (x *exchange) beginSilence(attemptNumber int) (relay.AttemptSilent, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	a := &x.silence
 	if x.conn == nil || x.attemptNumber != attemptNumber || a.timer == nil || a.number != 0 {
-		return
+		return relay.AttemptSilent{}, false
+	}
+	left := time.Until(a.at)
+	if a.writing {
+		// The endpoint is not heard while the caller does not read.
+		left = max(left, writingRecheck)
 	}
-	if left := time.Until(a.at); left > 0 {
+	if left > 0 {
 		a.timer.Reset(left)
-		return
+		return relay.AttemptSilent{}, false
 	}
 	a.count++
 	a.number = a.count
-	x.d.loop.Post(relay.AttemptSilent{ID: x.id, Try: attemptNumber, Number: a.number, Since: a.heardAt})
+	return relay.AttemptSilent{ID: x.id, Try: attemptNumber, Number: a.number, Since: a.heardAt}, true
+}
+
+// setWriting notes that a part of the answer is being written to the caller, or has been.
+func (x *exchange) setWriting(writing bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	a := &x.silence
+	a.writing = writing
+	if !writing && a.number == 0 && !a.at.IsZero() {
+		now := time.Now()
+		a.at = now.Add(max(a.at.Sub(a.heardAt), 0))
+		a.heardAt = now
+	}
+}
+
+// endAlarm ends the alarm of an attempt whose answer arrives, other than a stream.
+func (x *exchange) endAlarm() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.silence.stop()
 }
 
 // noteEvent notes an event of a stream: it ends a silence and starts the wait for the next event, which
 // takes maxGap at most; 0 means no limit.
 func (x *exchange) noteEvent(maxGap time.Duration) {
+	if number := x.endSilence(maxGap); number != 0 {
+		x.d.loop.Post(relay.AttemptResumed{ID: x.id, Number: number})
+	}
+}
+
+// endSilence notes an event and returns the number of the silence that it ends; 0 if it ends none.
+func (x *exchange) endSilence(maxGap time.Duration) int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	a := &x.silence
 	if a.timer == nil || x.aborted {
-		return
+		return 0
 	}
 	now := time.Now()
 	a.heardAt, a.at = now, now.Add(maxGap)
-	if a.number != 0 {
-		x.d.loop.Post(relay.AttemptResumed{ID: x.id, Number: a.number})
+	number := a.number
+	if number != 0 {
 		a.number = 0
 		a.timer.Reset(maxGap)
 	}
+	return number
 }
 
 // doSilence executes an effect that concerns silent attempts. It reports whether the effect is one.
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -149,6 +149,8 @@
 	if more {
 		return nil
 	}
+	x.setWriting(true)
+	defer x.setWriting(false)
 	if err := x.rc.Flush(); err != nil {
 		return fmt.Errorf("forward event: %w: %w", errCallerGone, err)
 	}
