--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -43,7 +43,7 @@
 	cachedInstance, cachedTokens := s.promptIndex.cachedTokens(r)
 	successors := s.versionSuccessors(r)
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
-		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) {
+		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) || s.awaitsRecord(e, r) {
 			continue
 		}
 		candidates++
@@ -88,6 +88,11 @@
 // canServe reports whether the endpoint is usable for the request, even if it is full at
 // the moment.
 func (s *State) canServe(e *endpoint, r *request) bool {
+	return e.doubt == nil && s.wouldServe(e, r)
+}
+
+// wouldServe is canServe but for a doubt about the endpoint's entry.
+func (s *State) wouldServe(e *endpoint, r *request) bool {
 	if e.Service != r.Service || e.Leaving || !r.fits(e) || slices.Contains(r.avoidedInstances, e.Instance) {
 		return false
 	}
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -9,7 +9,8 @@
 	if r == nil || r.target == nil {
 		return
 	}
-	e := r.target
+	e, silence := r.target, r.silence
+	given := s.endSilence(r)
 	if ev.Result == Broken {
 		s.noteLostAttempt(r, e, ev)
 	}
@@ -21,11 +22,13 @@
 	}
 	r.endpointFailed, r.wasShed = ev.Result == Failed, ev.Result == Shed
 	switch ev.Result {
-	case Done, Abandoned:
+	case Done:
 		e.recordOutcome(false, s.now)
-		if ev.Result == Done {
-			s.noteAnswered(r, ev.PromptServed)
-		}
+		e.answeredAt = s.now
+		s.noteAnswered(r, ev.PromptServed)
+		s.drop(r)
+	case Abandoned:
+		s.recordAbandoned(r, e, silence)
 		s.drop(r)
 	case Expired:
 		if !ev.Unsent {
@@ -43,7 +46,8 @@
 		if !e.Leaving {
 			s.reportCrash(e)
 		}
-		e.Leaving = true
+		e.leaving.replacedAt = s.now
+		e.deriveLeaving()
 		s.retryOrRefuse(r, e)
 	case ModelMissing:
 		s.removeMissingItem(r, e)
@@ -59,12 +63,25 @@
 			// The part is the cause, or the router has aborted the attempt for it.
 			break
 		}
-		e.recordOutcome(true, s.now)
-		s.retryOrFail(r, e)
+		if given != retriedSafe || s.othersHeard(e, r.sentAt) {
+			e.recordOutcome(true, s.now)
+		}
+		s.retryOrFail(r, e, given)
 	}
 	s.dispatchWaiting()
 }
 
+// recordAbandoned records the outcome of an attempt whose caller has left: a failure if the endpoint alone
+// was silent, and a success if it had begun to answer.
+func (s *State) recordAbandoned(r *request, e *endpoint, silence *silence) {
+	switch {
+	case silence != nil && (s.othersHeard(e, silence.since) || !s.othersSilent(e)):
+		e.recordOutcome(true, s.now)
+	case silence == nil && r.answerBegan:
+		e.recordOutcome(false, s.now)
+	}
+}
+
 // removeMissingItem removes the requested item from the known stock of an endpoint that does
 // not hold it.
 func (s *State) removeMissingItem(r *request, e *endpoint) {
@@ -107,18 +124,21 @@
 }
 
 // retryOrFail retries a request that may have run at e, or fails it if a retry is not
-// allowed.
-func (s *State) retryOrFail(r *request, e *endpoint) {
+// allowed. given is why the router has given the attempt up, if it has.
+func (s *State) retryOrFail(r *request, e *endpoint, given Decision) {
 	switch {
 	case !r.Route.Idempotent():
 		s.fail(r, MayHaveRun)
 	case r.possibleRunCount >= max(r.Route.MaxAttempts, 1):
 		s.fail(r, AttemptsFailed)
-	case !s.retryBudget.allowsRetry(s.now, r.Service):
+	case !r.retryCounted && !s.retryBudget.allowsRetry(s.now, r.Service):
 		s.emitCount("budget-spent")
 		s.fail(r, NoRetryBudget)
 	default:
-		r.avoidedInstances = append(r.avoidedInstances, e.Instance)
+		if given != runEnded || s.hasOtherEndpoint(r, e) {
+			// An endpoint that answers and has lost one run can take the next.
+			r.avoidedInstances = append(r.avoidedInstances, e.Instance)
+		}
 		s.dispatch(r)
 	}
 }
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -61,6 +61,8 @@
 	// of other routers at the endpoint at the time of the last report.
 	hasSparseReports        bool
 	otherRouterRequestCount int
+	// answeredAt is the time at which the endpoint last began or ended an answer; zero if it never did.
+	answeredAt time.Time
 	// failureRate is a moving average, from 0 to 1.
 	failureRate float64
 	// ejectedUntil is the time until which the endpoint is used only if there is no other;
@@ -73,6 +75,11 @@
 	tokensPerMS float64
 	// listedStock is the state of the endpoint's models according to the endpoint list.
 	listedStock stock.Report
+	// leaving is what each source says of the endpoint's leaving. Leaving, of the embedded entry, is
+	// derived from it.
+	leaving leavingWords
+	// doubt is set while the list has no entry of the endpoint that can be believed.
+	doubt *entryDoubt
 	// lastDemand is the demand last sent to the agent; zero if the agent is not connected.
 	lastDemand stock.Demand
 	// demandedAt is the time at which it was sent.
@@ -103,6 +110,8 @@
 	// toldOrigins is the sequence number of the last origin of a stream that the agent was told; 0 if
 	// it was told none.
 	toldOrigins uint64
+	// toldVersions are the versions of each service's software that the agent was last told.
+	toldVersions map[string][]string
 	// objectedTo are the answered prompt parts that the agent was last told, objectedAt the time of it.
 	objectedTo []poison.Part
 	objectedAt time.Time
@@ -113,7 +122,7 @@
 }
 
 func newEndpoint(m EndpointEntry, now time.Time) *endpoint {
-	return &endpoint{EndpointEntry: m, listedStock: m.Stock, listedAt: now, modelAttemptCounts: make(map[string]int), adapterAttemptCounts: make(map[stock.Item]int), tokensPerMS: initialTokensPerMS}
+	return &endpoint{EndpointEntry: m, leaving: leavingWords{listed: m.Leaving}, listedStock: m.Stock, listedAt: now, modelAttemptCounts: make(map[string]int), adapterAttemptCounts: make(map[stock.Item]int), tokensPerMS: initialTokensPerMS}
 }
 
 // isNewIncarnation reports whether the entry m is for another incarnation of the same
@@ -124,8 +133,14 @@
 
 // sameEntry reports whether m is equal to the list entry that the endpoint has now.
 func (e *endpoint) sameEntry(m EndpointEntry) bool {
+	if e.doubt != nil {
+		return e.doubt.entry.equal(&m)
+	}
+	if m.Malformed {
+		return false
+	}
 	return e.Service == m.Service && e.Address == m.Address && e.FailureDomain == m.FailureDomain &&
-		e.Slots == m.Slots && e.Leaving == m.Leaving && e.HasModels == m.HasModels && e.Born == m.Born && e.Software == m.Software &&
+		e.Slots == m.Slots && e.leaving.listed == m.Leaving && e.HasModels == m.HasModels && e.Born == m.Born && e.Software == m.Software &&
 		slices.EqualFunc(e.listedStock.Models, m.Stock.Models, stock.LoadedModel.Equal) && e.listedStock.Copies.Equal(m.Stock.Copies)
 }
 
@@ -137,6 +152,8 @@
 		m.Software = ""
 	}
 	e.EndpointEntry, e.listedStock = m, m.Stock
+	e.leaving.listed = m.Leaving
+	e.deriveLeaving()
 	if e.hasAgent {
 		e.Stock = known
 		return
@@ -157,9 +174,8 @@
 	e.hasAgent = true
 	e.attemptCountSinceReport, e.attemptCountBeforeReport = 0, e.attemptCountSinceReport
 	e.otherRouterRequestCount = max(r.Running+r.Waiting-e.runningAttemptCount, 0)
-	if r.Leaving {
-		e.Leaving = true
-	}
+	e.leaving.agent = r.Leaving
+	e.deriveLeaving()
 }
 
 // addAttempt counts an attempt that is being sent to the endpoint.
@@ -193,6 +209,7 @@
 // recordAnswerStart records that the prompt of r has been processed, and updates the prefill
 // speed.
 func (e *endpoint) recordAnswerStart(r *request, now time.Time) {
+	e.answeredAt = now
 	e.prefillTokens -= r.TokensIn
 	took := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
 	if r.TokensIn > 0 && took > 0 {
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -26,7 +26,16 @@
 	for _, m := range ev.List {
 		e := old[m.Instance]
 		delete(old, m.Instance)
-		if e == nil || !e.sameEntry(m) {
+		if e != nil {
+			e.outliveReplacement(ev.ReadAt)
+		}
+		switch {
+		case e == nil && m.Malformed:
+			continue
+		case e != nil && e.sameEntry(m):
+		case e != nil && e.mustDoubt(&m):
+			s.doubtEntry(e, m)
+		default:
 			wasLeaving := e == nil || e.Leaving
 			changed = true
 			e = s.updateEntry(e, m)
@@ -125,7 +134,8 @@
 		e.self.leaving = s.hasLeft(m)
 	}
 	e.update(m)
-	e.Leaving = e.Leaving || e.self.leaving
+	e.doubt = nil
+	e.deriveLeaving()
 	s.index.add(e)
 	s.index.addFormerHolders(e, before)
 	return e
@@ -170,8 +180,10 @@
 	s.unassignLoadsIfLeaving(e)
 	s.dispatchWaitingFor(e)
 	if first {
+		s.software.tellPending = true
 		s.informJudges()
 		s.askJudgesOfWaiting()
+		s.askAgentForRuns(e)
 	}
 	if first && s.followsSubset() {
 		s.dispatchWaiting()
@@ -206,7 +218,7 @@
 	s.unassignLoads(e.Instance)
 	s.abortAttempts(e)
 	m := e.EndpointEntry
-	m.Instance, m.Leaving, m.Born, m.Software, m.Stock = ev.Report.Instance, ev.Report.Leaving, 0, "", stock.Report{}
+	m.Instance, m.Leaving, m.Born, m.Software, m.Stock = ev.Report.Instance, false, 0, "", stock.Report{}
 	next := newEndpoint(m, s.now)
 	next.tieBreak = s.tieBreakOf(m.Instance)
 	s.endpoints = insert(remove(s.endpoints, e), next)
@@ -226,7 +238,7 @@
 		if e.hasAgent {
 			e.agentLostAt = s.now
 		}
-		e.hasAgent, e.toldCrashCount, e.toldOrigins = false, 0, 0
+		e.hasAgent, e.toldCrashCount, e.toldOrigins, e.toldVersions = false, 0, 0, nil
 		if e.Stock.Down {
 			// Only the agent can tell that the endpoint is back.
 			s.updateStock(e, func() { e.Stock = e.listedStock })
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -52,8 +52,9 @@
 // connection.
 const NoIdleLimit = time.Hour
 
-// keepAlive detects within about 2.5 s that the endpoint or the network path to it
-// has failed.
+// keepAlive detects within about 2.5 s that the host of an idle connection, or the network path to it,
+// has failed. A connection in use is not probed: its endpoint may work on the request while its host is
+// silent, and users of the pool have evidence or a deadline for that.
 var keepAlive = net.KeepAliveConfig{
 	Enable:   true,
 	Idle:     time.Second,
@@ -100,6 +101,23 @@
 	_ = c.Close()
 }
 
+// ResetOnClose makes Close reset a connection. It does nothing to a connection that is not one of the
+// operating system.
+func ResetOnClose(conn net.Conn) {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return
+	}
+	// On failure Close still closes the connection, but without a reset.
+	_ = rc.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	})
+}
+
 // Get returns a pooled connection that is still open and has been idle for at most
 // maxIdle, or else opens a new one. Errors wrap ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, maxIdle time.Duration) (*Conn, error) {
@@ -108,7 +126,7 @@
 		if c == nil {
 			return dial(ctx, addr)
 		}
-		if time.Now().Before(c.expiresAt) && c.reusable() {
+		if time.Now().Before(c.expiresAt) && c.reusable() && c.probe(false) == nil {
 			c.reused = true
 			return c, nil
 		}
@@ -138,7 +156,24 @@
 		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrUnreachable, err)
 	}
 	limit := &headLimit{conn: raw}
-	return &Conn{Conn: raw, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, addr: addr}, nil
+	c := &Conn{Conn: raw, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, addr: addr}
+	if err := c.probe(false); err != nil {
+		_ = raw.Close()
+		return nil, fmt.Errorf("connect to %s: %w: %w", addr, ErrUnreachable, err)
+	}
+	return c, nil
+}
+
+// probe sets whether the kernel probes the connection.
+func (c *Conn) probe(on bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAlive(on); err != nil {
+		return fmt.Errorf("set keep-alive: %w", err)
+	}
+	return nil
 }
 
 // headLimit reads from a connection. While a head is read, it fails with ErrHeadTooLong after
@@ -148,6 +183,8 @@
 	// inHead reports whether a head is read, left the number of bytes that it may still have.
 	inHead bool
 	left   int
+	// err is the error of the last read, if it failed.
+	err error
 }
 
 // Read implements io.Reader.
@@ -157,9 +194,16 @@
 	}
 	n, err := l.conn.Read(p)
 	l.left -= n
+	l.err = err
 	return n, err
 }
 
+// ClosedByPeer reports whether the last read has found the connection closed or reset by the endpoint. The
+// parsers of HTTP take a line without its end for a malformed one.
+func (c *Conn) ClosedByPeer() bool {
+	return errors.Is(c.limit.err, io.EOF) || errors.Is(c.limit.err, syscall.ECONNRESET)
+}
+
 // reusable reports whether an idle connection is open and has no data to read. Data
 // that arrives while no request is in flight belongs to no request.
 func (c *Conn) reusable() bool {
@@ -234,7 +278,7 @@
 // closes the connection if timeout is zero, if unread data is buffered, or if the
 // pool is full for the address.
 func (p *Pool) Put(c *Conn, timeout IdleTimeout) {
-	if timeout.duration <= 0 || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if timeout.duration <= 0 || c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil || c.probe(true) != nil {
 		_ = c.Close()
 		return
 	}
--- a/io/mirror/hedge.go
+++ b/io/mirror/hedge.go
@@ -52,7 +52,13 @@
 	hedging := false
 	var zero T
 	for {
+		var expiry <-chan time.Time
+		if at, ok := m.nextExpiry(); ok {
+			expiry = time.After(time.Until(at))
+		}
 		select {
+		case <-expiry:
+			m.expireAndNotify()
 		case a := <-answers:
 			inFlight--
 			if a.err == nil || errors.Is(a.err, ErrCompacted) || inFlight == 0 {
@@ -66,7 +72,7 @@
 				m.markOutage(errTimeout)
 			}
 			hedging = true
-			m.expireAndNotify(time.Now())
+			m.expireAndNotify()
 			start(true)
 			timer.Reset(hedgeTimeout)
 		case <-refresh:
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilreach/core/delta"
+	"chervilreach/core/epoch"
 	"chervilreach/core/event"
 	"chervilreach/core/stock"
 	"chervilreach/core/swap"
@@ -44,6 +45,10 @@
 	// Observe returns a snapshot of the endpoint. Its Report.Instance is empty; Identify
 	// returns the name.
 	Observe(ctx context.Context) (swap.Snapshot, error)
+	// Runs returns the runs that the endpoint reports.
+	Runs(ctx context.Context) (stock.Runs, error)
+	// Reach opens a new connection to the endpoint and closes it.
+	Reach(ctx context.Context) error
 	// SendOrder sends an order and returns the endpoint's answer to it. With an error the
 	// answer is valid too; it is swap.Unanswered if none was received.
 	SendOrder(ctx context.Context, o swap.Order) (swap.Answer, error)
@@ -85,7 +90,7 @@
 	// routes has the operator's routes as stored. routesRevision is a revision of the store at
 	// which they were the newest.
 	routes         delta.History
-	routesRevision int64
+	routesRevision epoch.Revision
 	// routesChanges caches what leads to the latest routes, by the version that a router has.
 	routesChanges map[int64][]byte
 	// routesAskedAt is the time at which a router last asked for routes.
@@ -96,6 +101,7 @@
 	permitAsks map[uint64]chan swap.PermitAnswered
 	// originAsks is the same for asks for the origin of a stream.
 	originAsks map[uint64]chan swap.OriginAnswered
+	runs       runsReader
 }
 
 // New returns a daemon. Run must be called to start it.
@@ -139,8 +145,8 @@
 
 // Serve implements wire.Handler. The first frame determines the use of the stream: a hello, a
 // request for the routes, the limit of an endpoint, an ask for a permit, a report on prompt parts
-// that crash endpoints, origins of streams or an ask for one, or the exchange of demands and reports with a router.
-func (d *Daemon) Serve(_ context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
+// that crash endpoints, origins of streams or an ask for one, an ask for a run, or the exchange of demands and reports with a router.
+func (d *Daemon) Serve(ctx context.Context, c *wire.Conn, s *wire.Stream, first *wirepb.Frame) {
 	defer func() { _ = s.Close() }()
 	if first.GetHello() != nil {
 		d.serveHello(s)
@@ -162,6 +168,10 @@
 		d.answerPermitAsk(c, s, ask)
 		return
 	}
+	if ask := first.GetRunAsk(); ask != nil {
+		d.answerRunAsk(ctx, s, ask)
+		return
+	}
 	if d.serveOrigins(c, s, first) || first.GetDemand() == nil {
 		return
 	}
