--- a/io/relayd/silence.go
+++ b/io/relayd/silence.go
@@ -28,8 +28,10 @@
 	// count is the number of silences of the request so far, number that of the silence in progress; 0
 	// if there is none.
 	count, number int
-	// writing reports whether a part of the answer is being written to the caller.
-	writing bool
+	// writing reports whether a part of the answer is being written to the caller, writingSince is when
+	// that began.
+	writing      bool
+	writingSince time.Time
 }
 
 // stop ends the alarm of an attempt.
@@ -86,12 +88,12 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	a := &x.silence
-	a.writing = writing
-	if !writing && a.number == 0 && !a.at.IsZero() {
-		now := time.Now()
-		a.at = now.Add(max(a.at.Sub(a.heardAt), 0))
-		a.heardAt = now
+	now := time.Now()
+	if a.writing && !writing {
+		// What the endpoint has sent meanwhile has not been read.
+		a.at = a.at.Add(now.Sub(a.writingSince))
 	}
+	a.writing, a.writingSince = writing, now
 }
 
 // endAlarm ends the alarm of an attempt whose answer arrives, other than a stream.
