core/relay: the belief test checks the incarnation that a request reaches

The check took the incarnation of the router's list, which is older than the agent's report, for the one that the request reaches.

It now takes the last incarnation that was started under the name. A router may reach no other. In exchange, what an endpoint or agent says is noted whatever incarnation the list has, so that a leaving endpoint of which the list lags is watched too; before, such words were not noted.

--- a/core/relay/belief_test.go
+++ b/core/relay/belief_test.go
@@ -46,11 +46,11 @@
 	outage        bool
 	outageEndedAt time.Time
 	lastBorn      int64
-	// toldLeaving has the listed incarnations that have said that they leave, by themselves or by
-	// their agents. listedBorn is the incarnation that the router's list last had, listed the
-	// instances that it has.
+	// toldLeaving has the incarnations of listed instances that have said that they leave, by themselves
+	// or by their agents. lastStarted is the last incarnation of each instance, listed has the instances
+	// that the router's list has.
 	toldLeaving map[incarnation]bool
-	listedBorn  map[string]int64
+	lastStarted map[string]int64
 	listed      map[string]bool
 	// services has the service of each request in progress, attempts its attempt.
 	services map[RequestID]string
@@ -66,7 +66,7 @@
 	run := &beliefRun{
 		random: rand.New(rand.NewPCG(seed, 1)), steps: append(steps, commonSteps...),
 		truth: make(map[string]EndpointEntry), mirror: make(map[string]EndpointEntry), removedAt: make(map[string]time.Time),
-		toldLeaving: make(map[incarnation]bool), listedBorn: make(map[string]int64),
+		toldLeaving: make(map[incarnation]bool), lastStarted: make(map[string]int64),
 		services: make(map[RequestID]string), attempts: make(map[RequestID]Send),
 	}
 	for i := range 9 {
@@ -89,6 +89,7 @@
 		e.Stock.Models = []stock.LoadedModel{{Model: "a"}}
 	}
 	run.truth[instance] = e
+	run.lastStarted[instance] = e.Born
 }
 
 // do applies an event and checks what it has the router send.
@@ -111,10 +112,11 @@
 	}
 }
 
-// check notes whether a request is sent where it must not be sent.
+// check notes whether a request is sent where it must not be sent. It can only reach the last incarnation,
+// which may be a later one than the router's list has.
 func (run *beliefRun) check(send Send) {
 	instance := send.Instance
-	if run.toldLeaving[incarnation{instance, run.listedBorn[instance]}] {
+	if run.toldLeaving[incarnation{instance, run.lastStarted[instance]}] {
 		run.broken = instance + " has said that it leaves and gets a request"
 	}
 	if e, ok := run.truth[instance]; ok && e.Service != run.services[send.ID] {
@@ -186,7 +188,7 @@
 
 // heardLeaving notes that the router is told that an endpoint leaves.
 func (run *beliefRun) heardLeaving(e EndpointEntry) {
-	if run.listedBorn[e.Instance] == e.Born {
+	if run.listed[e.Instance] {
 		run.toldLeaving[incarnation{e.Instance, e.Born}] = true
 	}
 }
@@ -241,9 +243,6 @@
 	run.listed = make(map[string]bool, len(list))
 	for _, e := range list {
 		run.listed[e.Instance] = true
-		if e.Born != 0 {
-			run.listedBorn[e.Instance] = e.Born
-		}
 	}
 	run.do(EndpointsListed{List: list, ReadAt: run.now})
 }
