core/relay: an answer on a run counts only for the silence that asked

What callers could see: a stream that was aborted, and went on elsewhere or ended, although its endpoint worked on it: two answers "gone" are evidence of an end, and one of them was to a question from an earlier silence, before the run's last event.

Cause: RunAnswered names no question, and each silence had its own flag of a pending question, so that the answer to the one before was taken for its own.

Evidence: TestAnswerToAnEarlierSilenceIsNoEvidence failed on the code before (an abort after one answer of each silence).

Change: a request has one question at an agent at a time; an answer counts for the check that asked, any other is counted as silences.late-answers and the question is asked anew. The agent connection always posts an answer, after runTimeout at the latest.

--- a/core/relay/runcheck.go
+++ b/core/relay/runcheck.go
@@ -131,8 +131,14 @@
 		s.emitWake(c.nextAt)
 		return
 	}
-	c.pending, c.ofPort = true, !c.endpoint.hasAgent || c.agentSilent
+	ofPort := !c.endpoint.hasAgent || c.agentSilent
+	if !ofPort && r.asked != nil {
+		// Answers name no question: there is one at a time, so that each counts for the check that asked.
+		return
+	}
+	c.pending, c.ofPort = true, ofPort
 	if !c.ofPort {
+		r.asked = c
 		s.emit(AskRun{ID: r.id, Instance: c.endpoint.Instance, AttemptID: r.AttemptID})
 		return
 	}
@@ -143,9 +149,18 @@
 }
 
 func (s *State) handleRunAnswered(ev RunAnswered) {
-	if r := s.requests[ev.ID]; r != nil {
+	r := s.requests[ev.ID]
+	if r == nil {
+		return
+	}
+	asked := r.asked
+	r.asked = nil
+	if asked == r.runCheck() {
 		s.noteRun(r, ev.Instance, ev.State)
+		return
 	}
+	s.emitCount("silences.late-answers")
+	s.applyRunCheck(r)
 }
 
 // noteReachable applies the check of an endpoint's port to the requests whose runs there are checked.
@@ -184,6 +199,11 @@
 		return
 	}
 	c.note(s.now, state)
+	s.applyRunCheck(r)
+}
+
+// applyRunCheck acts on what is known of a request's run, and asks for more.
+func (s *State) applyRunCheck(r *request) {
 	switch {
 	case r.silence != nil && r.target != nil:
 		s.judgeSilence(r)
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -136,6 +136,9 @@
 	retryCounted bool
 	// ending is the check of a run that the router has given up and that may go on; nil if there is none.
 	ending *runCheck
+	// asked is the check for which the endpoint's agent has been asked and has not answered; nil if there
+	// is none. It may be that of an earlier silence.
+	asked *runCheck
 	// joinedLoad is the load that the request waits for; zero if there is none.
 	joinedLoad loadKey
 }
