core/relay: no retries of safe requests while all of their service is silent

What callers saw: when all endpoints of a service fell silent together, safe requests were aborted within the retry budget and sent to an endpoint that was as silent, while the first one still worked on them: a herd of second runs when the silence ended.

Cause: a safe request at a silent endpoint was retried wherever there was room, without asking whether the other endpoint answers.

Change: a safe request is retried only at an endpoint that has been heard since the attempt was sent, or at which nothing is in progress. Otherwise it is judged again after runCheckInterval.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -135,7 +135,7 @@
 		s.emitCount("budget-spent")
 		s.fail(r, NoRetryBudget)
 	default:
-		if given != runEnded || s.hasOtherEndpoint(r, e) {
+		if given != runEnded || s.otherEndpoint(r, e) != nil {
 			// An endpoint that answers and has lost one run can take the next.
 			r.avoidedInstances = append(r.avoidedInstances, e.Instance)
 		}
--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -177,7 +177,7 @@
 func (s *State) decide(r *request) Decision {
 	l := r.silence
 	if r.Route.Kind != route.Stream {
-		if s.mayGoOn(r) {
+		if other := s.otherEndpoint(r, r.target); other != nil && !other.isQuietSince(l.since) && s.mayGoOn(r) {
 			return retriedSafe
 		}
 		return waited
@@ -207,23 +207,32 @@
 // progress, and another can take it.
 func (s *State) mayGoOn(r *request) bool {
 	return s.shutdownEndBy.IsZero() && r.Route.Idempotent() && r.possibleRunCount+1 < r.Route.MaxAttempts &&
-		s.retryBudget.allowsRetry(s.now, r.Service) && s.hasOtherEndpoint(r, r.target)
+		s.retryBudget.allowsRetry(s.now, r.Service) && s.otherEndpoint(r, r.target) != nil
 }
 
-// hasOtherEndpoint reports whether another endpoint than e can take the request now.
-func (s *State) hasOtherEndpoint(r *request, e *endpoint) bool {
+// otherEndpoint returns the endpoint other than e that can take the request now, or nil.
+func (s *State) otherEndpoint(r *request, e *endpoint) *endpoint {
 	avoided := r.avoidedInstances
 	defer func() { r.avoidedInstances = avoided }()
 	r.avoidedInstances = append(slices.Clone(avoided), e.Instance)
 	other, _ := s.choose(r)
-	return other != nil
+	return other
+}
+
+// isQuietSince reports whether neither the endpoint, at which attempts are in progress, nor its agent has been
+// heard since the given time. It may be as silent as the endpoint that the question is about.
+func (e *endpoint) isQuietSince(t time.Time) bool { return e.runningAttemptCount > 0 && !e.heardSince(t) }
+
+// heardSince reports whether the endpoint or its agent has been heard since the given time.
+func (e *endpoint) heardSince(t time.Time) bool {
+	return e.answeredAt.After(t) || e.hasAgent && e.reportedAt.After(t)
 }
 
 // othersHeard reports whether another endpoint of the service than e, or its agent, has been heard
 // since the given time. If all are silent, none of them is the cause.
 func (s *State) othersHeard(e *endpoint, since time.Time) bool {
 	return slices.ContainsFunc(s.index.endpointsByService[e.Service], func(other *endpoint) bool {
-		return other != e && (other.answeredAt.After(since) || other.hasAgent && other.reportedAt.After(since))
+		return other != e && other.heardSince(since)
 	})
 }
 
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -233,6 +233,9 @@
 			retries++
 			router.endAttempt(id, Broken)
 		}
+		// An endpoint with an unanswered request would be taken for silent and get no retries.
+		router.advance(200 * time.Millisecond)
+		router.endAttempt(id, Abandoned)
 	}
 	require.Greater(t, retries, 10)
 	for _, instance := range []string{"e1", "e2"} {
