core/relay: a run that its endpoint lists is not given up within 2 s

What callers saw: a stream was aborted after a pause of 1.5 s, although its endpoint answered its agent and listed the run, where the caller waits for 2 s.

Cause: a run without progress was given up after three quarters of the caller's pause, however short that is. A sound endpoint may be silent for a second or so.

Evidence: TestPauseOfARunDoesNotEndItsAttempt failed on the code before (abort after 1.5 s).

Change: it is given up after 2 s at the earliest. Callers who wait just that long leave at that moment; for those of longer objectives nothing changes.

--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -12,9 +12,14 @@
 // A sound endpoint may fall silent for a while and go on. Silence does not end an attempt: it makes
 // the router ask for evidence of the run, see runcheck.go, and the attempt goes on meanwhile.
 
-// stuckReserve is the part of the time for which a caller waits that is left for the rest of the answer
-// at another endpoint when a run that makes no progress is given up.
-const stuckReserve = 0.25
+const (
+	// stuckReserve is the part of the time for which a caller waits that is left for the rest of the answer
+	// at another endpoint when a run that makes no progress is given up.
+	stuckReserve = 0.25
+	// soundSilence is the longest silence of an endpoint that works. A run that its endpoint lists is not
+	// given up before.
+	soundSilence = 2 * time.Second
+)
 
 // AttemptSilent reports that Send.FirstBy or Send.MaxGap is exceeded. The attempt goes on.
 type AttemptSilent struct {
@@ -198,9 +203,8 @@
 
 // stuckAt returns the time at which a silent stream is given up if its endpoint answers.
 func (r *request) stuckAt() time.Time {
-	since := r.silence.since
 	wait := r.callerPauseTimeout()
-	return since.Add(wait - time.Duration(stuckReserve*float64(wait)))
+	return r.silence.since.Add(max(wait-time.Duration(stuckReserve*float64(wait)), soundSilence))
 }
 
 // mayGoOn reports whether the request may be sent to another endpoint now, after the attempt in
