core/relay: an entry that lasts is the endpoint's own

What callers could see: an endpoint that got no requests for as long as it lived, because a router read an entry of another writer before the endpoint's own: the own one contradicted what was known and was doubted for good.

Cause: what was read first was believed without an age; nothing overruled it.

Change: a living endpoint replaces an entry of another writer within about a second. One that contradicts the known incarnation and is listed for the lifetime of a lease, by the times at which the lists were read, is the endpoint's own. The service is excepted: a request at an endpoint of another service can't be taken back. Lists of the test harness have a time now.

--- a/core/relay/doubt.go
+++ b/core/relay/doubt.go
@@ -16,8 +16,9 @@
 
 // entryDoubt is the state of an endpoint without an entry that can be believed.
 type entryDoubt struct {
-	// entry is the entry in the list.
+	// entry is the entry in the list, since the time of the first list with what it claims.
 	entry EndpointEntry
+	since time.Time
 	// awaitUntil is the time until which requests wait for the endpoint's own entry.
 	awaitUntil time.Time
 }
@@ -36,12 +37,23 @@
 	return m.Malformed || m.Service != e.Service || !e.isNewIncarnation(*m) && m.contradicts(&e.EndpointEntry)
 }
 
+// doubtLasts reports whether the doubted entry is the endpoint's own, as a list read at readAt has it for longer
+// than an endpoint takes to replace one of another writer: what was known before came from another writer.
+// Only the service stays in doubt for as long as the endpoint is listed.
+func (e *endpoint) doubtLasts(m *EndpointEntry, readAt time.Time) bool {
+	d := e.doubt
+	return d != nil && m.Service == e.Service && d.entry.claimsAs(m) && readAt.Sub(d.since) >= replacedTimeout
+}
+
 // doubtEntry keeps new requests from an endpoint whose new entry m can't be believed.
-func (s *State) doubtEntry(e *endpoint, m EndpointEntry) {
+func (s *State) doubtEntry(e *endpoint, m EndpointEntry, readAt time.Time) {
 	if e.doubt == nil {
 		e.doubt = &entryDoubt{awaitUntil: s.now.Add(ownEntryTimeout)}
 		s.emitWake(e.doubt.awaitUntil)
 	}
+	if !e.doubt.entry.claimsAs(&m) {
+		e.doubt.since = readAt
+	}
 	e.doubt.entry = m
 	if !m.Malformed {
 		s.emitCount("entries.contradicting")
--- a/core/relay/doubt_test.go
+++ b/core/relay/doubt_test.go
@@ -106,3 +106,18 @@
 	router.listEndpoints()
 	assert.Empty(t, router.state.endpoints)
 }
+
+// Guards against an endpoint that moves to another service because an entry of another writer lasts while its own
+// can't reach the store.
+func TestLastingEntryMovesNoEndpointToAnotherService(t *testing.T) {
+	own := testEntry("e1", plain)
+	own.Born = 7
+	router := newTestRouter(t, own)
+	odd := own
+	odd.Service, odd.HasModels = llm, true
+	for range 10 {
+		router.listEndpoints(odd)
+		router.advance(time.Second)
+	}
+	assert.Equal(t, plain, router.state.endpoint("e1").Service)
+}
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -250,6 +250,12 @@
 	return m.Address != known.Address || m.Software != known.Software && m.Software != "" && known.Software != ""
 }
 
+// claimsAs reports whether both entries can be read and name the same incarnation, with what an incarnation never
+// changes.
+func (m *EndpointEntry) claimsAs(o *EndpointEntry) bool {
+	return !m.Malformed && !o.Malformed && m.Service == o.Service && m.Born == o.Born && m.Address == o.Address && m.Software == o.Software
+}
+
 // equal reports whether the entries are equal.
 func (m *EndpointEntry) equal(o *EndpointEntry) bool {
 	return m.Instance == o.Instance && m.Service == o.Service && m.Address == o.Address && m.FailureDomain == o.FailureDomain &&
--- a/core/relay/harness_test.go
+++ b/core/relay/harness_test.go
@@ -67,7 +67,7 @@
 
 func (router *testRouter) listEndpoints(entries ...EndpointEntry) {
 	router.list = entries
-	router.apply(EndpointsListed{List: entries})
+	router.apply(EndpointsListed{List: entries, ReadAt: router.now})
 }
 
 // report applies a report of the endpoint's agent, modified by change if that is not nil.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -29,12 +29,13 @@
 		if e != nil {
 			e.outliveReplacement(ev.ReadAt)
 		}
+		lasts := e != nil && e.doubtLasts(&m, ev.ReadAt)
 		switch {
 		case e == nil && m.Malformed:
 			continue
-		case e != nil && e.sameEntry(m):
-		case e != nil && e.mustDoubt(&m):
-			s.doubtEntry(e, m)
+		case e != nil && !lasts && e.sameEntry(m):
+		case e != nil && !lasts && e.mustDoubt(&m):
+			s.doubtEntry(e, m, ev.ReadAt)
 		default:
 			wasLeaving := e == nil || e.Leaving
 			changed = true
