core/relay: an entry of another incarnation elsewhere ends no accepted requests

What callers could see: accepted requests that may not be repeated were aborted, and answered 502, because another writer had left an entry with another start and another address under the name of a living endpoint.

Cause: the list's word that another incarnation has the name was taken as the end of the former one, with its attempts, whatever the source and the age of that word.

Change: if the entry names another address or an earlier start, it counts for new requests as before, but the former incarnation keeps its attempts and comes back with its own entry. If the other one is listed for the lifetime of a lease, the former has ended: its attempts are aborted then. A later start at the same address is a restart at once, as before; an odd entry of that form can't be told from it and is listed as open.

--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -78,6 +78,8 @@
 	// leaving is what each source says of the endpoint's leaving. Leaving, of the embedded entry, is
 	// derived from it.
 	leaving leavingWords
+	// former is the incarnation before if it may come back; nil if not.
+	former *formerIncarnation
 	// doubt is set while the list has no entry of the endpoint that can be believed.
 	doubt *entryDoubt
 	// lastDemand is the demand last sent to the agent; zero if the agent is not connected.
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -28,6 +28,10 @@
 		delete(old, m.Instance)
 		if e != nil {
 			e.outliveReplacement(ev.ReadAt)
+			s.endFormer(e, ev.ReadAt)
+		}
+		if e != nil && e.former.returns(m) {
+			e = s.restoreFormer(e)
 		}
 		lasts := e != nil && e.doubtLasts(&m, ev.ReadAt)
 		switch {
@@ -39,7 +43,7 @@
 		default:
 			wasLeaving := e == nil || e.Leaving
 			changed = true
-			e = s.updateEntry(e, m)
+			e = s.updateEntry(e, m, ev.ReadAt)
 			s.reportLeaving(e, wasLeaving, EndpointLeaving{Source: sourceStore, Listed: true, ReadAt: ev.ReadAt})
 		}
 		s.endpoints = append(s.endpoints, e)
@@ -114,25 +118,24 @@
 }
 
 // updateEntry applies the list entry m to the endpoint e, or creates the endpoint if e is nil.
-// If the entry is for another incarnation than e, the endpoint is created anew. It returns
-// the endpoint.
-func (s *State) updateEntry(e *endpoint, m EndpointEntry) *endpoint {
+// If the entry, of a list read at readAt, is for another incarnation than e, the endpoint is created anew. It
+// returns the endpoint.
+func (s *State) updateEntry(e *endpoint, m EndpointEntry, readAt time.Time) *endpoint {
 	var before []stock.LoadedModel
 	if e != nil {
 		before = e.Stock.Models
 		s.index.drop(e)
 	}
+	var former *formerIncarnation
 	if e != nil && e.isNewIncarnation(m) {
-		s.reportCrash(e)
-		s.abortAttempts(e)
-		s.dropLimit(e)
-		s.forgetSelfStatus(e)
+		former = s.replaceIncarnation(e, m, readAt)
 		e = nil
 	}
 	if e == nil {
 		e = newEndpoint(m, s.now)
 		e.tieBreak = s.tieBreakOf(m.Instance)
 		e.self.leaving = s.hasLeft(m)
+		e.former = former
 	}
 	e.update(m)
 	e.doubt = nil
@@ -142,6 +145,22 @@
 	return e
 }
 
+// replaceIncarnation ends an endpoint that the entry m of another incarnation replaces. If the entry may be of
+// another writer, the endpoint may come back and is returned as the former incarnation.
+func (s *State) replaceIncarnation(e *endpoint, m EndpointEntry, readAt time.Time) *formerIncarnation {
+	s.dropLimit(e)
+	if e.former != nil {
+		return e.former
+	}
+	if e.mayBeForeign(m) {
+		return &formerIncarnation{e, readAt}
+	}
+	s.reportCrash(e)
+	s.abortAttempts(e)
+	s.forgetSelfStatus(e)
+	return nil
+}
+
 // endpoint returns the endpoint with the given instance name, or nil if it is not listed.
 func (s *State) endpoint(instance string) *endpoint {
 	i, ok := slices.BinarySearchFunc(s.endpoints, instance, compareInstance)
