io/mirror: entries that expired in a short outage are retained beside survivors

What callers saw: after an outage of the store of about the length of a lease, in which a third of the leases expired, these endpoints got no requests until they had written their entries again; with a few endpoints, refusals.

Change: entries are dropped at once only if most have survived an outage that was surely longer than a lease, by the time of the last answer before it. The lease follows from the new setting store.heartbeat, which the platform fills in.

--- a/config/platform.go
+++ b/config/platform.go
@@ -42,6 +42,8 @@
 	Address netip.AddrPort `json:"address" need:"router,agent"`
 	// MaxAge is the time within which a process must know that an endpoint leaves.
 	MaxAge time.Duration `json:"max-age" default:"2s" fallback:"true"`
+	// Heartbeat is how often an endpoint writes its entry.
+	Heartbeat time.Duration `json:"heartbeat" default:"1200ms" fallback:"true"`
 	// WatchPause is the pause between two watches for changes. If it is 0, it follows from
 	// MaxAge.
 	WatchPause time.Duration `json:"pace"`
@@ -70,6 +72,12 @@
 	return pause, wait
 }
 
+// heartbeatsPerLease is the number of heartbeats that an endpoint may miss until its entry is removed.
+const heartbeatsPerLease = 3
+
+// Lease returns how long an entry of an endpoint lasts after its last heartbeat.
+func (s PlatformStore) Lease() time.Duration { return heartbeatsPerLease * s.Heartbeat }
+
 // PlatformCallers is the section "callers": how a router serves callers.
 type PlatformCallers struct {
 	// Listen is the address for callers, Ready the address for the readiness checks of the load
@@ -154,6 +162,7 @@
 	c.Process.check(f)
 	c.Log.check(f)
 	f.checkDuration("store.max-age", c.Store.MaxAge, 100*time.Millisecond, time.Minute)
+	f.checkDuration("store.heartbeat", c.Store.Heartbeat, 10*time.Millisecond, 10*time.Minute)
 	if c.Store.WatchPause != 0 {
 		f.checkDuration("store.pace", c.Store.WatchPause, 10*time.Millisecond, 10*time.Second)
 	}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -4,9 +4,9 @@
 //
 // An outage is a period in which the store does not answer. The writer of an entry is the
 // process that put it there with a lease. As leases expire during an outage, entries that
-// disappear around one are retained for a while, so that their writers can write them again. If
-// most entries have survived it, only this process could not reach the store, and those that are
-// missing have been removed by their writers; the more have survived, the shorter is that while.
+// disappear around one are retained for a while, so that their writers can write them again; not for long
+// if some entries have survived. If most have survived an outage that was longer than a lease, only this process
+// could not reach the store, and those that are missing have been removed by their writers.
 package mirror
 
 import (
@@ -50,6 +50,8 @@
 	// restoreWindow is how long after an outage live writers may take to write
 	// their expired entries again. The platform specifies two seconds.
 	restoreWindow = 2200 * time.Millisecond
+	// defaultLease is the platform's usual lease of an entry: three heartbeats of its writer.
+	defaultLease = 3600 * time.Millisecond
 	// minRereadInterval and maxRereadInterval bound the interval between full reads
 	// that found nothing new although the store's revision indicated a change.
 	// The interval doubles up to the maximum, so that a store which also increments
@@ -108,7 +110,10 @@
 	// WatchPause is the pause between two watches. The next watch returns all
 	// changes made during the pause at once.
 	WatchPause time.Duration
-	Log        zerolog.Logger
+	// Lease is how long an entry stays in the store after its writer has last written it; 0 means
+	// defaultLease.
+	Lease time.Duration
+	Log   zerolog.Logger
 	// OnChange is called from Run after each change and after the first full read.
 	OnChange func(s Snapshot)
 	// Watching reports whether the mirror watches for changes. While it does not, it reads all
@@ -180,8 +185,9 @@
 	// field was last reset.
 	foundNewer bool
 	// outageStart is the start of the current outage, or zero. lastOutageEnd is the end of
-	// the last outage, or zero if there was none.
-	outageStart, lastOutageEnd time.Time
+	// the last outage, or zero if there was none. silentSince is a time from which on the store surely
+	// did not answer in the last outage.
+	outageStart, lastOutageEnd, silentSince time.Time
 	// fullReadDone reports whether a full read has completed since the start.
 	fullReadDone bool
 	// seenRevision is the revision up to which reportUnseen has looked.
@@ -205,6 +211,9 @@
 
 // New returns an empty mirror.
 func New(opts Options) *Mirror {
+	if opts.Lease == 0 {
+		opts.Lease = defaultLease
+	}
 	return &Mirror{
 		opts: opts, entries: make(map[string][]byte), retained: make(map[string]time.Time),
 		revisions: make(map[string]epoch.Revision), creations: make(map[string]epoch.Revision),
@@ -531,6 +540,7 @@
 		return
 	}
 	m.outageStart = time.Now()
+	m.silentSince = m.readAt.Add(m.opts.WatchPause + m.opts.WatchWait + watchGrace)
 	m.beforeOutage = maps.Clone(m.creations)
 	m.opts.Log.Warn().Err(err).Str("dependency", "store").Str("prefix", m.opts.Prefix).Msg("dependency lost")
 }
--- a/io/mirror/retain.go
+++ b/io/mirror/retain.go
@@ -44,7 +44,7 @@
 	until := m.lastOutageEnd.Add(restoreWindow)
 	survived := m.survivorCount(removed)
 	switch limit := now.Add(mixedRetention); {
-	case 2*survived >= len(m.beforeOutage):
+	case 2*survived >= len(m.beforeOutage) && m.outageExceededLeases():
 		return time.Time{}
 	case survived > 0 && limit.Before(until):
 		return limit
@@ -52,6 +52,12 @@
 	return until
 }
 
+// outageExceededLeases reports whether the last outage was so long that a lease which was not renewed in it has
+// expired. In a shorter one, a part of the leases expires. The end of an outage is noticed after a pause.
+func (m *Mirror) outageExceededLeases() bool {
+	return m.lastOutageEnd.Sub(m.silentSince)-maxBackoff*3/2 > m.opts.Lease
+}
+
 // survivorCount returns how many entries from before the last outage are in the store still, without
 // removed. Their leases have not expired in it.
 func (m *Mirror) survivorCount(removed map[string]bool) int {
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -134,7 +134,7 @@
 		Versions:          platform.Versions,
 	})
 	r.endpoints = mirror.New(mirror.Options{
-		Store: platform.Store, Prefix: platform.EndpointsPrefix, WatchPause: pause, WatchWait: wait, Log: log.Logger,
+		Store: platform.Store, Prefix: platform.EndpointsPrefix, WatchPause: pause, WatchWait: wait, Lease: cfg.Store.Lease(), Log: log.Logger,
 		OnChange: r.onEndpoints, OnUnseen: r.routesFeed.Unseen,
 	})
 	r.routes = mirror.New(mirror.Options{
