--- a/core/relay/silence.go
+++ b/core/relay/silence.go
@@ -225,7 +225,9 @@
 
 // isQuietSince reports whether neither the endpoint, at which attempts are in progress, nor its agent has been
 // heard since the given time. It may be as silent as the endpoint that the question is about.
-func (e *endpoint) isQuietSince(t time.Time) bool { return e.runningAttemptCount > 0 && !e.heardSince(t) }
+func (e *endpoint) isQuietSince(t time.Time) bool {
+	return e.runningAttemptCount > 0 && !e.heardSince(t)
+}
 
 // heardSince reports whether the endpoint or its agent has been heard since the given time.
 func (e *endpoint) heardSince(t time.Time) bool {
