core/relay, io/node: a stopping router passes on no request whose answer it would cut off

What callers saw: in a planned stop, plain requests that came late in the grace were sent to an endpoint and broken off at the end of the stop with 502 may-have-run, among them requests that may not be repeated. Another router would have finished them.

Cause: wouldBeCutOff asked only for streams; plain requests with a free slot were sent until the abort. The grace of 2.9 s was the same for each drain timeout, so that with one of 3 s requests were accepted until the abort.

Change: a request that has not run and whose own deadline is after the abort is refused at once, as stopping with Retry-After 0, if an answer of its route, by the mean and the deviation of earlier ones, would come after the abort, or if the endpoint has been silent for longer than that. Without earlier answers, the route's objective counts, for late requests only. Short answers are served until the end. The grace is at most half of the time until the abort. Requests that may have run are not refused.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -25,6 +25,7 @@
 	case Done:
 		e.recordOutcome(false, s.now)
 		e.answeredAt = s.now
+		s.answerTimes.note(r.Route, s.now.Sub(r.sentAt))
 		s.noteAnswered(r, ev.PromptServed)
 		s.drop(r)
 	case Abandoned:
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -185,3 +185,71 @@
 	router.arrive(plainRoute(route.Safe), stock.Item{})
 	onlyEffect[Send](router)
 }
+
+// Guards against requests that come late in the shutdown period, are sent to an endpoint and cut off at its end,
+// among them requests that must not be repeated. Late requests with short answers are served.
+func TestStoppingRouterSendsNoLateRequestWhoseAnswerWouldBeCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		// took is how long answers took before; 0 if there were none. arrivesAt is the time in the period of 8 s.
+		took, arrivesAt, timeout time.Duration
+		// silent reports whether a request at the endpoint is not answered.
+		silent, wantRefused bool
+	}{
+		"long answers":                       {3 * time.Second, 6 * time.Second, 30 * time.Second, false, true},
+		"long answers that fit":              {3 * time.Second, time.Second, 30 * time.Second, false, false},
+		"answers longer than half":           {5 * time.Second, 3500 * time.Millisecond, 30 * time.Second, false, true},
+		"short answers":                      {60 * time.Millisecond, 7500 * time.Millisecond, 30 * time.Second, false, false},
+		"short answers, at the end":          {60 * time.Millisecond, 7950 * time.Millisecond, 30 * time.Second, false, true},
+		"short answers, endpoint silent":     {60 * time.Millisecond, 7 * time.Second, 30 * time.Second, true, true},
+		"deadline before the end":            {3 * time.Second, 6 * time.Second, 2 * time.Second, false, false},
+		"deadline before the end, silent":    {60 * time.Millisecond, 6 * time.Second, 2 * time.Second, true, false},
+		"no answers known":                   {0, 7 * time.Second, 30 * time.Second, false, false},
+		"no answers known, at the end":       {0, 7800 * time.Millisecond, 30 * time.Second, false, true},
+		"no answers known, endpoint silent":  {0, 7 * time.Second, 30 * time.Second, true, true},
+		"no answers known, silent but early": {0, time.Second, 30 * time.Second, true, false},
+	} {
+		for kindName, kind := range map[string]route.Kind{"unsafe": route.Unsafe, "safe": route.Safe} {
+			t.Run(name+"/"+kindName, func(t *testing.T) {
+				router := newTestRouter(t, testEntry("e1", plain))
+				rt := plainRoute(kind)
+				for range 20 {
+					if c.took == 0 {
+						break
+					}
+					id := router.arrive(rt, stock.Item{})
+					router.advance(c.took)
+					router.endAttempt(id, Done)
+				}
+				router.apply(ShutdownStarted{DrainAt: router.now.Add(2900 * time.Millisecond), By: router.now.Add(8 * time.Second)})
+				patient := *rt
+				patient.Timeout = c.timeout
+				if c.silent {
+					router.arrive(&patient, stock.Item{})
+					require.Len(t, effectsOf[Send](router), 1)
+				}
+				router.advance(c.arrivesAt)
+				router.arrive(&patient, stock.Item{})
+				if !c.wantRefused {
+					require.Len(t, effectsOf[Send](router), 1)
+					return
+				}
+				refused := onlyEffect[Refuse](router)
+				assert.Equal(t, Stopping, refused.Reason)
+				assert.Equal(t, router.now, refused.RetryAt, "another router can serve it at once")
+			})
+		}
+	}
+}
+
+// Guards against a request that was accepted before the stop, and is refused although it has been sent and may
+// have run.
+func TestStoppingRouterPromisesNothingOfRequestsThatMayHaveRun(t *testing.T) {
+	router := newTestRouter(t, testEntry("e1", plain), testEntry("e2", plain))
+	rt := plainRoute(route.Safe)
+	rt.Timeout = 30 * time.Second
+	id := router.arrive(rt, stock.Item{})
+	router.apply(ShutdownStarted{By: router.now.Add(8 * time.Second)})
+	router.advance(7900 * time.Millisecond)
+	router.endAttempt(id, Broken)
+	assert.Empty(t, effectsOf[Refuse](router))
+}
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -72,6 +72,8 @@
 	shutdownSendBy, shutdownEndBy time.Time
 	// drainAt is ShutdownStarted.DrainAt.
 	drainAt time.Time
+	// answerTimes tells how long answers take.
+	answerTimes answerTimes
 	// lastAskNumber is the number of the last ask for a permit. pendingAsks has the endpoints of
 	// the unanswered ones.
 	lastAskNumber uint64
@@ -156,6 +158,7 @@
 		outdatedDemands: make(map[string]bool),
 		retryBudget:     newRetryBudget(cfg),
 		pendingAsks:     make(map[uint64]*endpoint),
+		answerTimes:     make(answerTimes),
 		poison:          newPoisonState(),
 		software:        newSoftwareState(),
 	}
@@ -275,6 +278,10 @@
 	}
 	if !s.now.Before(r.notBefore) {
 		if e, basis := s.choose(r); e != nil {
+			if s.wouldBeCutOffAt(r, e) {
+				s.refuseOrFail(r, Stopping, s.now)
+				return
+			}
 			s.sendOrAskPermit(r, e, basis)
 			return
 		}
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -37,6 +37,9 @@
 	// balancer notices that the router is not ready, and answers can tell callers that their
 	// connections close.
 	shutdownGrace = 2900 * time.Millisecond
+	// maxGraceShare bounds shutdownGrace by a part of the time until the abort, so that what arrives at
+	// its end can be answered.
+	maxGraceShare = 0.5
 	// maxLogLinesPerSecond limits the log lines of a process at level info and below. It is
 	// above the rate of a busy day and below the rate that a small core can afford.
 	maxLogLinesPerSecond = 400
@@ -295,7 +298,7 @@
 func (r *Relay) Failed() <-chan error { return r.failed }
 
 // Stop ends the router. It makes the router not ready, so that the load balancer sends callers
-// elsewhere, still accepts requests for the time shutdownGrace, and then waits for the
+// elsewhere, still accepts requests for the time shutdownGrace or half of its time, and then waits for the
 // requests in progress. Shortly before the deadline of ctx it aborts the remaining requests and
 // returns an error. Without a deadline, the drain timeout of the settings applies.
 func (r *Relay) Stop(ctx context.Context) error {
@@ -305,14 +308,15 @@
 	}
 	exitAt := abortAt.Add(-exitMargin)
 	abortAt = abortAt.Add(-abortMargin)
-	r.daemon.BeginShutdown(time.Now().Add(shutdownGrace), abortAt)
+	grace := min(shutdownGrace, time.Duration(maxGraceShare*float64(time.Until(abortAt))))
+	r.daemon.BeginShutdown(time.Now().Add(grace), abortAt)
 	r.log.Info().Int("in-progress", r.daemon.RequestsInProgress()).Msg("stopping")
 	defer r.stop()
 	ctx, cancel := context.WithDeadline(ctx, abortAt)
 	defer cancel()
 	select {
 	case <-ctx.Done():
-	case <-time.After(shutdownGrace):
+	case <-time.After(grace):
 	}
 	defer r.closeServers()
 	defer r.logConns()
