core/relay, io/guard: no request waits for an answer when a router ends; requests without an outcome are named

What callers could see: a stream whose stuck run had been given up, and that waited for the end of that run when the router stopped, got neither an answer nor a refusal: its connection was closed with the process.

Cause: a waiting request is answered at the end of the shutdown only if an event comes at that moment. The router woke up at half of the shutdown period, at which all other waiting requests are refused, and not at its end.

Evidence: TestStoppingRouterAnswersWhatWaitsAtTheEnd failed on the code before (no wake-up at the end).

Change: the reducer wakes up at the end, too. So that such a way is noticed: each request counts as open from its head to its outcome, also while its body is being read, and the last line of a router names those that are left, also if there are none. Before, only requests with an exchange were named, and only if the drain had failed.

--- a/core/relay/shutdown.go
+++ b/core/relay/shutdown.go
@@ -18,6 +18,7 @@
 	s.shutdownSendBy = s.now.Add(time.Duration(float64(remaining) * shutdownSendShare))
 	s.shutdownEndBy, s.drainAt = ev.By, ev.DrainAt
 	s.emitWake(s.shutdownSendBy)
+	s.emitWake(s.shutdownEndBy)
 	s.dispatchWaiting()
 }
 
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -253,3 +253,22 @@
 	router.endAttempt(id, Broken)
 	assert.Empty(t, effectsOf[Refuse](router))
 }
+
+// Guards against a request that still waits when the process ends, because nothing happens at that moment, and whose
+// connection is closed without an answer.
+func TestStoppingRouterAnswersWhatWaitsAtTheEnd(t *testing.T) {
+	router := newSilentStream(t)
+	wait := router.state.requests[1].callerPauseTimeout()
+	router.answerRun(stock.RunListed)
+	router.now = time.UnixMilli(1_000_000).Add(wait - wait/5)
+	router.answerRun(stock.RunListed)
+	router.endAttempt(1, Broken)
+	require.Empty(t, effectsOf[Fail](router), "its run must end first")
+	by := router.now.Add(time.Second)
+	router.apply(ShutdownStarted{By: by})
+	require.Empty(t, effectsOf[Fail](router))
+	assert.Contains(t, router.effects, event.Wake{At: by})
+	router.now = by
+	router.apply(event.Tick{})
+	assert.Equal(t, Fail{ID: 1, Reason: Stopping}, onlyEffect[Fail](router))
+}
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -5,8 +5,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"runtime/debug"
+	"slices"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -56,6 +59,33 @@
 	Prefix string
 	// IDHeader is the header with the ID of a request, for the log.
 	IDHeader string
+
+	mu sync.Mutex
+	// open has the IDs of the requests whose handlers have not ended.
+	open map[*writer]string
+}
+
+// Open returns the IDs of the requests that have been read and have no outcome yet, sorted. A request
+// without an ID has an empty one.
+func (g *Guard) Open() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Values(g.open))
+}
+
+func (g *Guard) add(w *writer, id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open == nil {
+		g.open = make(map[*writer]string)
+	}
+	g.open[w] = id
+}
+
+func (g *Guard) remove(w *writer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.open, w)
 }
 
 // Serve runs a handler. The handler must call End with its writer before it returns or panics
@@ -64,6 +94,8 @@
 // also closed after the outcomes Cut and Left, so that what was written does not look complete.
 func (g *Guard) Serve(w http.ResponseWriter, r *http.Request, handler http.HandlerFunc) {
 	sw := &writer{ResponseWriter: w}
+	g.add(sw, r.Header.Get(g.IDHeader))
+	defer g.remove(sw)
 	defer func() { g.finish(sw, r, recover()) }()
 	handler(sw, r)
 }
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -109,3 +110,40 @@
 		})
 	}
 }
+
+// Guards against a request without an outcome that nobody notices when the process ends.
+func TestRequestsAreOpenUntilTheirOutcome(t *testing.T) {
+	g := &guard.Guard{Log: zerolog.Nop(), Metrics: metrics.NewRegistry(), Prefix: "requests.", IDHeader: "X-Id"}
+	inHandler, end := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.Serve(w, r, func(w http.ResponseWriter, r *http.Request) {
+			inHandler <- struct{}{}
+			<-end
+			if r.Header.Get("X-Id") == "panics" {
+				panic("bug")
+			}
+			guard.End(w, guard.Answered)
+			w.WriteHeader(http.StatusOK)
+		})
+	}))
+	defer server.Close()
+	assert.Empty(t, g.Open())
+	ids := []string{"answered", "panics"}
+	for _, id := range ids {
+		go func() {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+			if !assert.NoError(t, err) {
+				return
+			}
+			req.Header.Set("X-Id", id)
+			resp, err := server.Client().Do(req)
+			if assert.NoError(t, err) {
+				assert.NoError(t, resp.Body.Close())
+			}
+		}()
+		<-inHandler
+	}
+	assert.Equal(t, ids, g.Open())
+	close(end)
+	require.Eventually(t, func() bool { return len(g.Open()) == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -319,6 +319,7 @@
 	case <-time.After(grace):
 	}
 	defer r.closeServers()
+	defer r.daemon.LogUnanswered()
 	defer r.logConns()
 	if err := r.callerServer.Drain(ctx); err != nil {
 		r.log.Warn().Err(err).Int("in-progress", r.daemon.RequestsInProgress()).Msg("drain incomplete; aborting requests in progress")
@@ -353,7 +354,6 @@
 	defer cancel()
 	if err := r.callerServer.Drain(ctx); err != nil {
 		r.log.Error().Err(err).Msg("shutdown ended before all answers were written")
-		r.daemon.LogUnanswered()
 	}
 }
 
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -44,15 +44,27 @@
 // ends.
 const outcomeUnanswered = "unanswered"
 
-// LogUnanswered logs and counts the requests that have no final answer. It must be called when the
-// process ends.
+// maxUnansweredIDs bounds the IDs in the last line of a process.
+const maxUnansweredIDs = 100
+
+// LogUnanswered logs and counts the requests that have been read and have no outcome, each with a line and
+// all with one more, also if there are none. It must be called when the process ends.
 func (d *Daemon) LogUnanswered() {
+	open := d.guard.Open()
+	// The log may drop lines below this level when there are many.
+	level := zerolog.WarnLevel
+	if len(open) == 0 {
+		level = zerolog.InfoLevel
+	}
+	d.log.WithLevel(level).Int("count", len(open)).Strs("requests", open[:min(len(open), maxUnansweredIDs)]).
+		Msg("requests without an outcome at the end")
+	for range open {
+		d.meters.countRequest(outcomeUnanswered)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, x := range d.exchanges {
-		// The log may drop lines below this level when there are many.
 		x.logOutcomeAt(zerolog.WarnLevel, outcomeUnanswered, string(relay.Stopping))
-		x.d.meters.countRequest(outcomeUnanswered)
 	}
 }
 
