--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -31,7 +31,7 @@
 			s.endFormer(e, ev.ReadAt)
 		}
 		if e != nil && e.former.returns(m) {
-			e = s.restoreFormer(e)
+			e, changed = s.restoreFormer(e), true
 		}
 		lasts := e != nil && e.doubtLasts(&m, ev.ReadAt)
 		switch {
