--- a/soak/pauses.go
+++ b/soak/pauses.go
@@ -46,8 +46,8 @@
 		return nil
 	}},
 	{"service pauses as a router stops", func(ctx context.Context, h *harness, rnd *rand.Rand) error {
-		stopped := make(chan error, 1)
-		go func() { stopped <- pick(rnd, h.fleet.routers).restart(h.fleet.bin, syscall.SIGTERM, stopTimeout) }()
+		router, stopped := pick(rnd, h.fleet.routers), make(chan error, 1)
+		go func() { stopped <- router.restart(h.fleet.bin, syscall.SIGTERM, stopTimeout) }()
 		sleep(ctx, time.Duration(rnd.Int64N(int64(stopTimeout))))
 		h.pauseService(ctx, rnd)
 		return <-stopped
