io/conns, platform: heads without end take no more memory than their bounds

What callers saw: nothing yet; by the report of other operators, a replica that answered without end ended the process that had called it, and with it the requests of others.

Cause: the agent's client kept up to 10 MiB of a head, the default of net/http, and lines of a few bytes take many times their size: one call grew the heap by 97.8 MB on a host of 216 MB. The router's 64 KiB for a head had no bound on lines either: 200 requests at once grew its heap by 252.5 MB on hosts of 184 MB.

The soak plays answers without end at the links of replicas, to routers and to agents, and bounds the memory of each process by 128 MB.

--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -16,6 +16,7 @@
 	"chervilreach/core/event"
 	"chervilreach/core/fleet"
 	"chervilreach/core/poison"
+	"chervilreach/io/conns"
 	"chervilreach/io/line"
 )
 
@@ -88,7 +89,7 @@
 // NewClient returns a client that connects to the addresses directly, without a proxy,
 // and closes each connection after its response.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxCallHeadBytes}}}
 }
 
 // Targets returns the targets for the hosts in the list that have an administration
--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,7 +26,7 @@
 	// ErrStale reports that a pooled connection had been closed by the endpoint
 	// before it was used.
 	ErrStale = errors.New("pooled connection closed by the endpoint")
-	// ErrHeadTooLong reports that the head of an answer exceeds maxHeadBytes.
+	// ErrHeadTooLong reports that the head of an answer exceeds MaxHeadBytes or maxHeadLines.
 	ErrHeadTooLong = errors.New("head of the answer too long")
 )
 
@@ -40,14 +41,24 @@
 	idleTimeoutMargin = 500 * time.Millisecond
 	// maxIdlePerAddr bounds the idle connections per address.
 	maxIdlePerAddr = 32
-	// maxHeadBytes bounds the status line and headers of an answer, including those of the
-	// interim answers before it. Up to readBufferBytes more may be read.
-	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of a head in the same way as MaxHeadBytes. A line of a few bytes
+	// takes many times its size in memory.
+	maxHeadLines = 256
+	// headReadBytes bounds each read while a head is read.
+	headReadBytes = 2 << 10
 	// maxInterimAnswers bounds the interim answers (1xx) to a request.
 	maxInterimAnswers = 16
 	readBufferBytes   = 8 << 10
 )
 
+// MaxHeadBytes bounds the status line and headers of an answer, including those of the
+// interim answers before it. Up to headReadBytes more may be read.
+const MaxHeadBytes = 64 << 10
+
+// MaxCallHeadBytes bounds the head of an answer to a process's own calls (http.Transport.MaxResponseHeaderBytes).
+// It is lower than MaxHeadBytes as the transport doesn't bound the lines.
+const MaxCallHeadBytes = 16 << 10
+
 // NoIdleLimit is a maxIdle for Get that leaves the limit to the idle timeout of each
 // connection.
 const NoIdleLimit = time.Hour
@@ -177,23 +188,38 @@
 }
 
 // headLimit reads from a connection. While a head is read, it fails with ErrHeadTooLong after
-// maxHeadBytes.
+// MaxHeadBytes or maxHeadLines.
 type headLimit struct {
 	conn net.Conn
-	// inHead reports whether a head is read, left the number of bytes that it may still have.
-	inHead bool
-	left   int
+	// inHead reports whether a head is read, bytesLeft and linesLeft what it may still have.
+	inHead               bool
+	bytesLeft, linesLeft int
 	// err is the error of the last read, if it failed.
 	err error
 }
 
+// start begins a head.
+func (l *headLimit) start() {
+	l.inHead, l.bytesLeft, l.linesLeft = true, MaxHeadBytes, maxHeadLines
+}
+
+// exceeded reports whether the head is too long.
+func (l *headLimit) exceeded() bool { return l.inHead && (l.bytesLeft <= 0 || l.linesLeft <= 0) }
+
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
-	if l.inHead && l.left <= 0 {
-		return 0, ErrHeadTooLong
+	if l.exceeded() {
+		l.err = ErrHeadTooLong
+		return 0, l.err
+	}
+	if l.inHead {
+		p = p[:min(len(p), headReadBytes)]
 	}
 	n, err := l.conn.Read(p)
-	l.left -= n
+	if l.inHead {
+		l.bytesLeft -= n
+		l.linesLeft -= bytes.Count(p[:n], []byte("\n"))
+	}
 	l.err = err
 	return n, err
 }
@@ -319,10 +345,14 @@
 // ErrHeadTooLong if there is no end of the head or of the interim answers. It has this name to
 // hide the Read of the embedded net.Conn, which would bypass the buffer.
 func (c *Conn) Read(method string) (*http.Response, error) {
-	c.limit.inHead, c.limit.left = true, maxHeadBytes
+	c.limit.start()
 	defer func() { c.limit.inHead = false }()
 	for range maxInterimAnswers + 1 {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if errors.Is(c.limit.err, ErrHeadTooLong) {
+			// The parser reports the last line, which is cut off, as malformed.
+			err = ErrHeadTooLong
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
 		}
--- a/io/conns/pool_test.go
+++ b/io/conns/pool_test.go
@@ -137,13 +137,13 @@
 	}
 }
 
-// The head of each answer on a connection may have maxHeadBytes, and a body any length.
+// The head of each answer on a connection may have MaxHeadBytes, and a body any length.
 func TestLongHeads(t *testing.T) {
 	c, peer := connPair(t, NewPool())
-	body := strings.Repeat("b", 3*maxHeadBytes)
+	body := strings.Repeat("b", 3*MaxHeadBytes)
 	go func() {
 		for range 3 {
-			_, _ = fmt.Fprintf(peer, "HTTP/1.1 200 OK\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("a", maxHeadBytes-100), len(body), body)
+			_, _ = fmt.Fprintf(peer, "HTTP/1.1 200 OK\r\nA: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("a", MaxHeadBytes-100), len(body), body)
 		}
 	}()
 	for range 3 {
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"chervilreach/core/fleet"
+	"chervilreach/io/conns"
 )
 
 // Defaults and limits of a Client.
@@ -89,6 +90,8 @@
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: conns.MaxCallHeadBytes,
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"chervilreach/core/fleet"
+	"chervilreach/io/conns"
 )
 
 // Defaults and limits of a Client.
@@ -79,6 +80,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: conns.MaxCallHeadBytes,
 	}
 	return &Client{
 		addrs:  addrs,
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chervilreach/core/fleet"
+	"chervilreach/io/conns"
 )
 
 // ErrUnavailable reports that the host list could not be read.
@@ -55,7 +56,7 @@
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{Timeout: opts.Timeout}).DialContext
 	}
-	transport := &http.Transport{DialContext: opts.Dial, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{DialContext: opts.Dial, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: conns.MaxCallHeadBytes}
 	return &Client{url: "http://" + addr.String() + "/v1/hosts", opts: opts, http: &http.Client{Transport: transport}}
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -27,6 +27,7 @@
 	portStore         = 17_404
 	portReplica       = 17_405
 	portReplicaDirect = 17_406
+	portReplicaAgent  = 17_407
 )
 
 // process is a router or an agent on its own host. Its program is restarted after an injected
@@ -67,11 +68,11 @@
 	stoppedAt, killedAt time.Time
 }
 
-// replica is a test double of a replica. Its own agent connects to it directly, all other
-// processes through the proxy link.
+// replica is a test double of a replica. Its own agent connects to it through the proxy agentLink, all
+// other processes through the proxy link.
 type replica struct {
 	*mock.Replica
-	link *proxy
+	link, agentLink *proxy
 	// faultMu is held while a fault is injected into the replica itself rather than its
 	// link.
 	faultMu sync.Mutex
@@ -199,12 +200,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("start proxy of a replica: %w", err)
 	}
+	agentLink, err := newProxy(ctx, addrPort(ip, portReplicaAgent), direct)
+	if err != nil {
+		return nil, fmt.Errorf("start proxy of a replica for its agent: %w", err)
+	}
 	spec.ListedAddress = addrPort(ip, portReplica)
 	r, err := mock.NewReplica(ctx, f.store, f.runLog, spec, direct)
 	if err != nil {
 		return nil, err
 	}
-	added := &replica{Replica: r, link: link}
+	added := &replica{Replica: r, link: link, agentLink: agentLink}
 	f.replicas = append(f.replicas, added)
 	return added, nil
 }
@@ -220,7 +225,7 @@
 	}
 	section := fmt.Sprintf(`"callers": {"listen": %q, "ready": %q}`, addrPort(ip, portCallers), addrPort(ip, portReady))
 	if link != nil {
-		section = fmt.Sprintf(`"endpoint": {"address": %q, "service": %q}`, addrPort(ip, portReplicaDirect), mock.ModelService)
+		section = fmt.Sprintf(`"endpoint": {"address": %q, "service": %q}`, addrPort(ip, portReplicaAgent), mock.ModelService)
 	}
 	text := fmt.Sprintf(`{"process": {"host": %q, "failure-domain": "zone-0", "wire": %q, "admin": %q, "drain-timeout": "8s"},
 "store": {"address": %q}, "retries": {"ratio": 0.2, "extra": 100}, %s}`,
@@ -357,7 +362,7 @@
 		errs = append(errs, p.storeLink.close(), p.log.Close())
 	}
 	for _, r := range f.replicas {
-		errs = append(errs, r.Crash(), r.link.close())
+		errs = append(errs, r.Crash(), r.link.close(), r.agentLink.close())
 	}
 	if f.server != nil {
 		errs = append(errs, f.server.Close())
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -30,6 +30,9 @@
 	OneWay
 	// Reset means that open and new connections are reset.
 	Reset
+	// Endless means that open connections are reset, and that new ones get bytes without end in
+	// place of answers, in one of the forms of endlessForms.
+	Endless
 )
 
 const (
@@ -76,7 +79,7 @@
 	defer p.mu.Unlock()
 	p.mode = m
 	switch m {
-	case Reset:
+	case Reset, Endless:
 		for c := range p.conns {
 			abort(c)
 		}
@@ -123,8 +126,13 @@
 	for p.currentMode() == Blackhole {
 		time.Sleep(pollInterval)
 	}
-	if p.currentMode() == Reset {
+	switch p.currentMode() {
+	case Reset:
+		return
+	case Endless:
+		p.answerEndlessly(client)
 		return
+	case Pass, Slow, Stall, Blackhole, OneWay:
 	}
 	d := net.Dialer{Timeout: time.Second}
 	server, err := d.DialContext(context.Background(), "tcp", p.to.String())
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -183,6 +183,7 @@
 	wg.Go(func() { h.poisonPrompts(ctx, rand.New(rand.NewPCG(h.opts.Seed, 8))) })
 	wg.Go(func() { h.returnFromCopies(ctx, rand.New(rand.NewPCG(h.opts.Seed, 12))) })
 	wg.Go(func() { h.writeOddEntries(ctx, rand.New(rand.NewPCG(h.opts.Seed, 13))) })
+	wg.Go(func() { h.answerWithoutEnd(ctx, rand.New(rand.NewPCG(h.opts.Seed, 14))) })
 	wg.Go(func() { h.probeRoutes(ctx) })
 }
 
@@ -308,6 +309,7 @@
 	h.checkPrompts()
 	h.checkPauses()
 	h.checkOrders()
+	h.checkMemory()
 	for _, name := range h.fleet.runLog.OvercommittedInstances() {
 		h.addViolation("%s was ordered to hold more than it can", name)
 	}
