core/relay: no request outlasts its caller for an overdue load

What callers saw: nothing; their router spent processor time. A load may be up to 0.7 s overdue before another endpoint is asked. A request whose caller left in that time went on waiting, as the expected time was past, and the router asked to be woken at the time at which the caller left, which was now: it ran in circles.

The load is now expected at the current time at the earliest, so that the request is refused when its caller leaves.

--- a/core/relay/wait.go
+++ b/core/relay/wait.go
@@ -57,6 +57,10 @@
 		return
 	}
 	readyAt, reason := s.expectedSendTime(r)
+	if reason == "" {
+		// A load may be overdue.
+		readyAt = laterTime(readyAt, s.now)
+	}
 	if reason == "" && s.tooLateToSend(readyAt) {
 		s.refuseOrFail(r, Stopping, s.now)
 		return
