core/relay: busy endpoints with cached weights are asked again

What callers saw: while endpoints were busy with loads, requests for rare models were refused as too-late within seconds, though they would have waited four times their objective.

Cause: an endpoint that does not start a load within 0.6 s is not asked again for it. After two or three such endpoints, all that had the weights, the rest would load from the weight store for longer than the caller waits, and the request was refused. Now those that were asked are asked again.

--- a/core/relay/loads.go
+++ b/core/relay/loads.go
@@ -177,6 +177,11 @@
 		return s.now.Add(engine.Models[key.item.Model].FromMemory), ""
 	}
 	e, readyAt := s.chooseLoader(key, engine, load.triedInstances)
+	if len(load.triedInstances) > 0 && (e == nil || !readyAt.Add(minRunTime).Before(r.callerTimeoutAt())) {
+		// Those that did not start the load in time are sooner free than the others are done.
+		load.triedInstances = nil
+		e, readyAt = s.chooseLoader(key, engine, nil)
+	}
 	if e == nil {
 		s.assignLoad(load, "")
 		load.triedInstances = nil
