core/relay: chance is no traffic that needs extra replicas

Cause: a router takes its own rate times the number of routers for the fleet's. One request at one of 103 routers looked like 34 a second, for which dozens of replicas were asked for, each in the place of a model in use. Now the rate counts less one standard deviation of the number of requests that it stands for.

The test failed before.

--- a/core/relay/replicas.go
+++ b/core/relay/replicas.go
@@ -85,7 +85,7 @@
 // cached weights, the first replica of a model from any endpoint.
 func (s *State) requestMissingReplicas(model string, t *traffic, engine *route.Engine, summary fleetSummary) {
 	item := stock.Item{Model: model}
-	rate := max(t.rate, t.recentRate) * float64(s.retryBudget.routerCount)
+	rate := max(confidentRate(t.rate, rateDecay), confidentRate(t.recentRate, recentRateDecay)) * float64(s.retryBudget.routerCount)
 	holderCount := s.holderCount(t.service, item)
 	if holderCount == 0 {
 		s.requestFirstReplicaIfJustified(model, t, engine, rate)
@@ -146,3 +146,9 @@
 func hasCachedWeights(e *endpoint, model string) bool {
 	return slices.Contains(e.Stock.Copies.Memory, model) || slices.Contains(e.Stock.Copies.Disk, model)
 }
+
+// confidentRate returns the rate that a moving average with the given time constant shows beyond chance.
+func confidentRate(rate float64, decay time.Duration) float64 {
+	n := rate * decay.Seconds()
+	return max(n-math.Sqrt(n), 0) / decay.Seconds()
+}
