core/relay: the simulation of the worst load at a tenth of the size

With the race detector the package took 4 GB and over seven minutes of processor time beside other work, of which the simulation is the newest part.

--- a/core/relay/overload_test.go
+++ b/core/relay/overload_test.go
@@ -703,13 +703,13 @@
 	return text
 }
 
-// Replays the load of a fleet in which most of what is owed is for models that are rarely used, at a fifth of
+// Replays the load of a fleet in which most of what is owed is for models that are rarely used, at a tenth of
 // its size: steady, with a burst of such requests, and while all endpoints are replaced. Endpoints spend most
 // of their time on loads then. Guards against requests that are refused although an endpoint with cached weights will be
 // free in time, against loads that are late in any case before those that can be in time, and against extra
 // replicas for single requests, which take the places of models in use.
 func TestRareModelsAtWorstLoad(t *testing.T) {
-	const divisor, seeds = 5, 2
+	const divisor, seeds = 10, 3
 	for name, c := range map[string]struct {
 		change     func(*loadSpec)
 		minWorth   float64
