io/guard: the test of open requests waits for its callers

Cause: the test waits for the guard, not for its callers, whose requests are canceled with the test. What is checked is the same.

--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -129,8 +130,9 @@
 	defer server.Close()
 	assert.Empty(t, g.Open())
 	ids := []string{"answered", "panics"}
+	var callers sync.WaitGroup
 	for _, id := range ids {
-		go func() {
+		callers.Go(func() {
 			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
 			if !assert.NoError(t, err) {
 				return
@@ -140,10 +142,11 @@
 			if assert.NoError(t, err) {
 				assert.NoError(t, resp.Body.Close())
 			}
-		}()
+		})
 		<-inHandler
 	}
 	assert.Equal(t, ids, g.Open())
 	close(end)
 	require.Eventually(t, func() bool { return len(g.Open()) == 0 }, 5*time.Second, time.Millisecond)
+	callers.Wait()
 }
