--- a/fakes/engine_test.go
+++ b/fakes/engine_test.go
@@ -233,6 +233,8 @@
 		f.load(t, "m@1")
 		f.load(t, "n@1")
 		f.run(t, "a", "", 0)
+		// The execution is logged as ended after its answer has been received.
+		synctest.Wait()
 		f.engine.Kill()
 		lines, err := fakes.ReadLog(strings.NewReader(log.String() + `{"at":`))
 		require.NoError(t, err)
