io/wire, io/node: listeners are closed when a process has ended

It was put down to ports that other fleets had taken.

Cause: Transport.Listen returned before its listener was closed, which a function of the context does, and left a connection open that it had accepted as it ended; its peer would wait on that for an answer. And an administration server that was closed before it had begun to serve closed its listener later.

Change: both wait.

--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,7 +27,7 @@
 	in          do.Injector
 	cfg         *config.Config
 	daemon      *agentd.Daemon
-	adminServer *http.Server
+	adminServer *adminServer
 	startedAt   time.Time
 	stop        context.CancelFunc
 	// stopped receives the error of the daemon when it ends.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -144,14 +144,32 @@
 	return l, nil
 }
 
-// serveAdmin serves administration requests on a listener in the background, and returns the
-// server. Closing the server closes the listener.
-func serveAdmin(l net.Listener, cfg admin.HandlerConfig) *http.Server {
-	srv := &http.Server{Handler: admin.Handler(cfg), ReadHeaderTimeout: adminHeaderTimeout}
+// adminServer serves administration requests on one listener.
+type adminServer struct {
+	http *http.Server
+	// served is closed when the server has ended and its listener is closed.
+	served chan struct{}
+}
+
+// serveAdmin serves administration requests on a listener in the background.
+func serveAdmin(l net.Listener, cfg admin.HandlerConfig) *adminServer {
+	s := &adminServer{
+		http:   &http.Server{Handler: admin.Handler(cfg), ReadHeaderTimeout: adminHeaderTimeout},
+		served: make(chan struct{}),
+	}
 	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		defer close(s.served)
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			_ = l.Close()
 		}
 	}()
-	return srv
+	return s
+}
+
+// Close closes the listener and all connections. The listener is closed when Close returns,
+// also if the server had not begun to serve.
+func (s *adminServer) Close() error {
+	err := s.http.Close()
+	<-s.served
+	return err
 }
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -96,7 +96,7 @@
 	malformedEntries metrics.Gauge
 	recorder         *line.Recorder
 	startedAt        time.Time
-	adminServer      *http.Server
+	adminServer      *adminServer
 	// endpoints watches the endpoint list, routes reads the routes when routesFeed asks for it.
 	endpoints, routes *mirror.Mirror
 	routesFeed        *feed.Feed
@@ -339,7 +339,7 @@
 // closeServers closes the servers with all their connections, as the end of the process
 // would.
 func (r *Relay) closeServers() {
-	for _, s := range []server{r.callerServer, r.readinessServer, r.adminServer} {
+	for _, s := range []io.Closer{r.callerServer, r.readinessServer, r.adminServer} {
 		if err := s.Close(); err != nil {
 			r.log.Warn().Err(err).Msg("close server failed")
 		}
--- a/io/node/router.go
+++ b/io/node/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
@@ -36,7 +35,7 @@
 	log         *logs.Log
 	front       *front.Front
 	server      *front.Server
-	adminServer *http.Server
+	adminServer *adminServer
 	startedAt   time.Time
 	stop        context.CancelFunc
 	// stopped receives the error of the daemon when it ends.
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"chervilreach/io/admin"
 	"chervilreach/io/drain"
 	"chervilreach/io/logs"
 	"chervilreach/io/relayd"
@@ -21,8 +22,12 @@
 // of this test takes longer than the time until Stop aborts the requests in progress.
 func TestStopWaitsForAnswersThatAreBeingWritten(t *testing.T) {
 	const grace, writeTime = 600 * time.Millisecond, 50 * time.Millisecond
+	var lc net.ListenConfig
+	adminListener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
 	r := &Relay{
-		log: &logs.Log{Logger: zerolog.Nop()}, daemon: relayd.New(relayd.Options{}), adminServer: &http.Server{},
+		log: &logs.Log{Logger: zerolog.Nop()}, daemon: relayd.New(relayd.Options{}),
+		adminServer:     serveAdmin(adminListener, admin.HandlerConfig{}),
 		readinessServer: &http.Server{}, stop: func() {},
 	}
 	arrived := make(chan struct{})
@@ -33,7 +38,6 @@
 		time.Sleep(grace - abortMargin + writeTime)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})})
-	var lc net.ListenConfig
 	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { assert.ErrorIs(t, r.callerServer.Serve(l), http.ErrServerClosed) }()
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -76,7 +75,7 @@
 	registry    metrics.Registry
 	recorder    *line.Recorder
 	startedAt   time.Time
-	adminServer *http.Server
+	adminServer *adminServer
 	stop        context.CancelFunc
 	// failed receives the error of the listener for routers.
 	failed chan error
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -191,13 +191,27 @@
 }
 
 // Listen accepts and serves connections in the background until the context is canceled, when
-// it closes the listener and the accepted connections and returns nil.
+// it closes the listener and the accepted connections and returns nil. The listener is closed
+// when Listen returns.
 func (t *Transport) Listen(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = l.Close()
+	})
+	defer func() {
+		if !stop() {
+			<-closed
+			return
+		}
+		_ = l.Close()
+	}()
 	for {
 		raw, err := l.Accept()
 		if ctx.Err() != nil {
+			if raw != nil {
+				_ = raw.Close()
+			}
 			return nil
 		}
 		if err != nil {
