--- a/cmds/status.go
+++ b/cmds/status.go
@@ -137,11 +137,25 @@
 		a := s.Agent
 		return "agent", fmt.Sprintf("%s, incarnation %d, %d queued, %d running, memory %s of %s reserved",
 			a.Endpoint, a.Incarnation, a.QueuedRequests, a.RunningRequests, formatGiB(a.Reserved), formatGiB(a.Memory))
+	case s.Endpoint != nil:
+		return "swap", endpointDetail(*s.Endpoint)
 	default:
 		return "-", ""
 	}
 }
 
+// endpointDetail returns a text for how an endpoint answers its agent.
+func endpointDetail(e admin.EndpointAnswers) string {
+	var parts []string
+	if e.Error != "" {
+		parts = append(parts, fmt.Sprintf("endpoint fails since %s: %s", e.ChangedAt.UTC().Format(statusTimeLayout), e.Error))
+	}
+	if e.MalformedCount > 0 {
+		parts = append(parts, fmt.Sprintf("%d malformed answers of the endpoint", e.MalformedCount))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // writeModelRows writes one table row for each endpoint that has a state for the model.
 func writeModelRows(b *strings.Builder, m admin.ModelSummary) {
 	for i, p := range m.Places {
--- a/cmds/timeline_test.go
+++ b/cmds/timeline_test.go
@@ -150,6 +150,32 @@
 	require.Equal(t, 1, summary.Models[0].LoadingCount)
 }
 
+// TestStatusOfSwap checks what is shown of an agent whose endpoint sends what is no answer.
+func TestStatusOfSwap(t *testing.T) {
+	changedAt := time.Date(2026, 1, 31, 9, 0, 0, 0, time.UTC)
+	tests := map[string]struct {
+		answers admin.EndpointAnswers
+		want    string
+	}{
+		"sound":  {answers: admin.EndpointAnswers{ChangedAt: changedAt}, want: ""},
+		"failed": {answers: admin.EndpointAnswers{ChangedAt: changedAt, Error: "timeout"}, want: "endpoint fails since 2026-01-31 09:00:00: timeout"},
+		"malformed, then sound": {
+			answers: admin.EndpointAnswers{ChangedAt: changedAt, MalformedCount: 3}, want: "3 malformed answers of the endpoint",
+		},
+		"malformed": {
+			answers: admin.EndpointAnswers{ChangedAt: changedAt, Error: "too long", MalformedCount: 3},
+			want:    "endpoint fails since 2026-01-31 09:00:00: too long; 3 malformed answers of the endpoint",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			role, detail := roleAndDetail(&admin.Status{Endpoint: &tt.answers})
+			require.Equal(t, "swap", role)
+			require.Equal(t, tt.want, detail)
+		})
+	}
+}
+
 func TestProcessArguments(t *testing.T) {
 	tests := map[string]struct {
 		args []string
--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -25,6 +25,18 @@
 	ConvictedParts []ConvictedPart `json:"convicted-parts,omitempty"`
 	Router         *RouterStatus   `json:"router,omitempty"`
 	Agent          *AgentStatus    `json:"agent,omitempty"`
+	// Endpoint says how the endpoint of a swap process answers it.
+	Endpoint *EndpointAnswers `json:"endpoint,omitempty"`
+}
+
+// EndpointAnswers says how an endpoint answers the process that orders its loads.
+type EndpointAnswers struct {
+	// Error is why the last poll failed; it is empty if the endpoint answered.
+	Error string `json:"error,omitempty"`
+	// ChangedAt is when polls began to fail or to succeed.
+	ChangedAt time.Time `json:"changed"`
+	// MalformedCount is the number of answers since the start of the process that were malformed.
+	MalformedCount int64 `json:"malformed-answers"`
 }
 
 // ConvictedPart is a prompt part that crashes endpoints.
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,6 +28,9 @@
 	DefaultIdleTimeout  = 2 * time.Second
 	DefaultTotalTimeout = 10 * time.Minute
 	DefaultMaxBodyBytes = 16 << 20
+	// maxControlBytes bounds the body of an answer that is neither a result nor a KV cache. A
+	// state lists at most some hundred models.
+	maxControlBytes = 1 << 20
 
 	idleConnTimeout = 30 * time.Second
 	maxIdleConns    = 256
@@ -187,7 +191,9 @@
 func (c *Client) ExportKVCache(ctx context.Context, id fleet.RequestID) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.TotalTimeout)
 	defer cancel()
-	cache, _, err := c.call(ctx, httpRequest{method: http.MethodGet, path: PathKVCache + url.PathEscape(string(id))})
+	cache, _, err := c.call(ctx, httpRequest{
+		method: http.MethodGet, path: PathKVCache + url.PathEscape(string(id)), maxAnswerBytes: c.opts.MaxBodyBytes,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("export %s: %w", id, mapNotFound(err))
 	}
@@ -219,6 +225,8 @@
 	// unpooled is set if the request must use a new connection. If that cannot be opened, it
 	// is certain that nothing was sent.
 	unpooled bool
+	// maxAnswerBytes bounds the body that call reads; 0 stands for maxControlBytes.
+	maxAnswerBytes int
 }
 
 // call sends a request and returns the body of the answer. Errors are those of do, and
@@ -230,7 +238,7 @@
 		return nil, sent, err
 	}
 	defer closeBody(resp)
-	answer, err = readAll(resp.Body, c.opts.MaxBodyBytes)
+	answer, err = readAll(resp.Body, cmp.Or(msg.maxAnswerBytes, maxControlBytes))
 	if err != nil {
 		return nil, true, fmt.Errorf("read answer: %w", err)
 	}
--- /dev/null
+++ b/io/etcd/endless_test.go
@@ -0,0 +1,41 @@
+package etcd_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/fakes"
+	"chervilreach/io/etcd"
+)
+
+// TestEndlessAnswerOfKV checks the memory that a call takes whose answer never ends.
+func TestEndlessAnswerOfKV(t *testing.T) {
+	const (
+		maxGrowth = 32 << 20
+		timeout   = 500 * time.Millisecond
+	)
+	for name, a := range fakes.EndlessAnswers() {
+		t.Run(name, func(t *testing.T) {
+			server, err := fakes.StartEndless(a)
+			require.NoError(t, err)
+			t.Cleanup(func() { assert.NoError(t, server.Close()) })
+			startedAt := time.Now()
+			growth := fakes.HeapGrowth(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), timeout)
+				defer cancel()
+				c := etcd.New([]netip.AddrPort{server.Addr}, etcd.Options{})
+				defer c.Close()
+				_, _, err := c.List(ctx, "/")
+				assert.Error(t, err)
+			})
+			t.Logf("heap grew by %.1f MB", float64(growth)/(1<<20))
+			assert.Less(t, growth, uint64(maxGrowth))
+			assert.Less(t, time.Since(startedAt), 2*timeout)
+		})
+	}
+}
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -23,7 +23,8 @@
 	// DefaultTimeout applies if Options.Timeout is not set.
 	DefaultTimeout = time.Second
 
-	maxListBytes    = 16 << 20
+	// maxListBytes bounds an answer.
+	maxListBytes    = 3 << 20
 	idleConnTimeout = 30 * time.Second
 )
 
@@ -92,8 +93,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return fleet.HostList{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
+	// A decoder's buffer would grow to twice the bound.
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return fleet.HostList{}, fmt.Errorf("read list: %w", err)
+	}
 	var list fleet.HostList
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.Unmarshal(text, &list); err != nil {
 		return fleet.HostList{}, fmt.Errorf("decode list: %w", err)
 	}
 	return list, nil
--- a/io/node/swap.go
+++ b/io/node/swap.go
@@ -211,10 +211,14 @@
 
 // Status implements admin.Source.
 func (s *Swap) Status() admin.Status {
+	health := s.daemon.EndpointHealth()
 	return admin.Status{
 		Process: s.cfg.Process.ID, Domain: s.cfg.Process.FailureDomain, Started: s.startedAt,
 		Revision:       fleet.Revision(s.daemon.RoutesVersion()),
 		ConvictedParts: admin.ConvictedParts(time.Now(), s.daemon.Convictions()),
+		Endpoint: &admin.EndpointAnswers{
+			Error: health.Error, ChangedAt: health.ChangedAt, MalformedCount: health.MalformedCount,
+		},
 	}
 }
 
--- a/io/swapd/daemon.go
+++ b/io/swapd/daemon.go
@@ -38,7 +38,8 @@
 // metricConvictions is the name of the gauge of convicted prompt parts.
 const metricConvictions = "swap.convictions-in-force"
 
-// Endpoint is a client of the agent's endpoint. Its methods may be called concurrently.
+// Endpoint is a client of the agent's endpoint. Its methods may be called concurrently. Their
+// errors wrap ErrMalformedAnswer if what the endpoint sent is no answer.
 type Endpoint interface {
 	// Identify returns the instance name of the endpoint. A restart may change it.
 	Identify(ctx context.Context) (string, error)
@@ -73,17 +74,16 @@
 // Daemon is an agent. It implements wire.Handler for routers. Its methods may be called
 // concurrently.
 type Daemon struct {
-	opts Options
-	log  zerolog.Logger
-	loop *loop.Loop
+	opts   Options
+	log    zerolog.Logger
+	loop   *loop.Loop
+	health *healthRecord
 
 	mu           sync.Mutex
 	lastRouterID uint64
 	// reportQueues holds the report queues of the connected routers by the router's ID.
 	reportQueues map[uint64]chan stock.Report
 	latestReport stock.Report
-	// endpointDown reports whether the last poll of the endpoint failed.
-	endpointDown bool
 	// lastSnapshot is the last snapshot of the endpoint, including its instance name. It is
 	// zero after a failed poll; the name must be requested again then.
 	lastSnapshot swap.Snapshot
@@ -107,7 +107,7 @@
 // New returns a daemon. Run must be called to start it.
 func New(opts Options) *Daemon {
 	d := &Daemon{
-		opts: opts, log: opts.Log, loop: loop.New(swap.New(), opts.Recorder),
+		opts: opts, log: opts.Log, loop: loop.New(swap.New(), opts.Recorder), health: newHealthRecord(opts.Log, opts.Metrics),
 		reportQueues: make(map[uint64]chan stock.Report), permitAsks: make(map[uint64]chan swap.PermitAnswered),
 		originAsks: make(map[uint64]chan swap.OriginAnswered),
 	}
@@ -123,6 +123,9 @@
 	d.loop.Run(ctx, executor{d, ctx})
 }
 
+// EndpointHealth returns how the endpoint answers this agent.
+func (d *Daemon) EndpointHealth() EndpointHealth { return d.health.get() }
+
 // SetFencingToken sets the agent's fencing token. No orders are sent before.
 func (d *Daemon) SetFencingToken(token int64) { d.loop.Post(swap.TokenIssued{Token: token}) }
 
@@ -327,7 +330,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	snapshot, err := d.takeSnapshot(ctx)
-	d.logEndpointChange(err)
+	d.health.notePoll(time.Now(), err)
 	if err != nil {
 		d.loop.Post(swap.ObserveFailed{Reason: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		return
@@ -357,28 +360,12 @@
 	return snapshot, err
 }
 
-// logEndpointChange logs when polls begin to fail and when they succeed again. err is the
-// result of the last poll.
-func (d *Daemon) logEndpointChange(err error) {
-	d.mu.Lock()
-	changed := d.endpointDown != (err != nil)
-	d.endpointDown = err != nil
-	d.mu.Unlock()
-	if !changed {
-		return
-	}
-	if err != nil {
-		d.log.Warn().Err(err).Str("dependency", "endpoint").Msg("dependency lost")
-		return
-	}
-	d.log.Info().Str("dependency", "endpoint").Msg("dependency regained")
-}
-
 // sendOrder sends an order to the endpoint and posts its answer.
 func (d *Daemon) sendOrder(ctx context.Context, o swap.Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	answer, err := d.opts.Endpoint.SendOrder(ctx, o)
+	d.health.noteAnswer(time.Now(), err)
 	d.log.Info().Err(err).Uint64("order", o.Number).Str("operation", string(o.Operation)).
 		Str("model", o.Item.Model).Str("adapter", o.Item.Adapter).Str("endpoint", o.Instance).
 		Int64("sequence", o.Sequence).Str("outcome", string(answer)).Msg("order")
