--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -77,6 +77,8 @@
 	ended bool
 	// lastEventID is the ID of the last stream event forwarded to the caller, or relay.NoEvent.
 	lastEventID int64
+	// timing is of the last attempt of a stream that had an answer.
+	timing streamTiming
 	// resumes and resuming are RequestInfo.Resumes and RequestInfo.Resuming.
 	resumes  string
 	resuming bool
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -102,6 +102,9 @@
 	if x.limitHeader != "" {
 		line = line.Str("limit", x.limitHeader)
 	}
+	if t := x.timing; t.firstAt.After(startedAt) {
+		line = line.Int64("first-event-ms", t.firstAt.Sub(x.arrivedAt).Milliseconds()).Int64("longest-pause-ms", t.longestPause.Milliseconds())
+	}
 	line.Msg("attempt")
 }
 
--- a/io/relayd/stream.go
+++ b/io/relayd/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
@@ -38,6 +39,7 @@
 	events := bufio.NewReaderSize(resp.Body, maxEventBytes)
 	// comments are those before the first event.
 	var comments []byte
+	x.timing = streamTiming{}
 	for {
 		ev, err := readEvent(events)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
@@ -66,6 +68,7 @@
 				x.d.loop.Post(relay.AnswerStarted{ID: x.id})
 			}
 			x.noteEvent(send.MaxGap)
+			x.timing.note(time.Now())
 		}
 		if !hasEvents && !x.headerSent && len(comments)+len(ev) <= maxEventBytes {
 			comments = append(comments, ev...)
@@ -83,6 +86,22 @@
 	}
 }
 
+// streamTiming is when the events of one attempt of a stream came.
+type streamTiming struct {
+	firstAt, lastAt time.Time
+	longestPause    time.Duration
+}
+
+// note takes in an event.
+func (t *streamTiming) note(now time.Time) {
+	if t.firstAt.IsZero() {
+		t.firstAt = now
+	} else {
+		t.longestPause = max(t.longestPause, now.Sub(t.lastAt))
+	}
+	t.lastAt = now
+}
+
 // mediaType returns the media type in a header, without parameters.
 func mediaType(h http.Header) string {
 	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
