core/relay: routers with the same reports no longer choose the same endpoint

Cause: at 103 routers an agent reports its load every 3 s, to all at once. Until the next report all routers choose the same one of the endpoints whose reports show nothing: of 14 holders of one model all logged routers used one, then the next. The rule of the lowest cost takes a report for what is there now.

Change: a request goes to an endpoint at random, with the probabilities at which the requests that other routers are expected to send until the next reports bring the cheapest endpoints to the same cost. That number follows from the router's own traffic for the model and the time between reports, so that with fresh reports or few routers the cheapest is chosen as before. No new message, no figure of a site, no object on the path of a request.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -35,18 +35,16 @@
 	soleHolderCostMS = 60.0
 )
 
-// choose returns the endpoint with the lowest cost among those that can take the request now,
-// or nil if there is none. The cost is the estimated time to first event with penalties.
+// choose returns an endpoint with a low cost among those that can take the request now, or nil if there
+// is none; see chooseOption. The cost is the estimated time to first event with penalties.
 func (s *State) choose(r *request) (*endpoint, Basis) {
-	var best *endpoint
-	leastCost, candidates, unlimited := 0.0, 0, 0
+	options, unlimited := s.options[:0], 0
 	cachedInstance, cachedTokens := s.promptIndex.cachedTokens(r)
 	successors := s.versionSuccessors(r)
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
 		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) || s.awaitsRecord(e, r) {
 			continue
 		}
-		candidates++
 		if !e.limit.InForce() {
 			unlimited++
 		}
@@ -58,16 +56,16 @@
 		if successors != nil && !successors[e.Software] {
 			cost += soleHolderCostMS
 		}
-		if best == nil || cost < leastCost {
-			best, leastCost = e, cost
-		}
+		options = append(options, option{e, cost})
 	}
-	if best == nil {
+	s.options = options
+	if len(options) == 0 {
 		return nil, Basis{}
 	}
-	basis := s.basisOf(best, candidates, leastCost)
+	chosen := s.chooseOption(r, options)
+	basis := s.basisOf(chosen.endpoint, len(options), chosen.costMS)
 	basis.UnlimitedCandidates = unlimited
-	return best, basis
+	return chosen.endpoint, basis
 }
 
 // basisOf returns the inputs of the selection of an endpoint with the cost in ms.
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -45,6 +45,8 @@
 	listedAt time.Time
 	// reportedAt is the time of the agent's last report; zero if there was none.
 	reportedAt time.Time
+	// reportInterval is a moving average of the time between two reports.
+	reportInterval time.Duration
 	// runningAttemptCount is the number of this router's attempts in progress at the endpoint,
 	// prefillTokens the total prompt length of the attempts whose answer has not begun.
 	runningAttemptCount, prefillTokens int
@@ -168,6 +170,9 @@
 // applyReport replaces the known stock by an agent's report. A report without
 // cached weights leaves the known ones unchanged.
 func (e *endpoint) applyReport(r stock.Report, now time.Time) {
+	if !e.reportedAt.IsZero() {
+		e.reportInterval += time.Duration(latestIntervalWeight * float64(now.Sub(e.reportedAt)-e.reportInterval))
+	}
 	e.reportedAt = now
 	if r.Copies.IsEmpty() {
 		r.Copies = e.Stock.Copies
--- a/core/relay/overload_test.go
+++ b/core/relay/overload_test.go
@@ -39,6 +39,8 @@
 	// popular is the number of models that popular requests are for, rare that of the others, which
 	// are requested evenly.
 	popular, rare int
+	// popularPlaces is the share of the places that popular models have at the start.
+	popularPlaces float64
 	// copies is the number of endpoints that have a model on disk.
 	copies int
 	// popularRate and rareRate are requests per second. In the burst, rareRate is multiplied by
@@ -236,7 +238,7 @@
 func (s *loadSim) placeModels() {
 	var slots []string
 	for i := range s.spec.popular {
-		for range max(1, int(s.popularShare(i)*float64(s.spec.endpoints*s.spec.resident)/2)) {
+		for range max(1, int(s.popularShare(i)*float64(s.spec.endpoints*s.spec.resident)*s.spec.popularPlaces)) {
 			slots = append(slots, fmt.Sprintf("m%d", i))
 		}
 	}
@@ -679,7 +681,7 @@
 // largeLoad is the load of a fleet in which most requests by worth are for models that are rarely used.
 func largeLoad(divisor int) loadSpec {
 	return loadSpec{
-		routers: 103 / divisor, endpoints: 160 / divisor, zones: 5, slots: 24, resident: 3, popular: 32 / divisor, rare: 809 / divisor, copies: 3,
+		routers: 103 / divisor, endpoints: 160 / divisor, zones: 5, slots: 24, resident: 3, popular: 32 / divisor, rare: 809 / divisor, popularPlaces: 0.5, copies: 3,
 		popularRate: 406 / float64(divisor), rareRate: 109 / float64(divisor), burstFactor: 1, burstFrom: 9 * time.Second, burstTo: 15 * time.Second,
 		length: 20 * time.Second,
 	}
@@ -715,8 +717,9 @@
 		minWorth   float64
 		maxRefused float64
 	}{
-		"steady": {func(*loadSpec) {}, 0.75, 0.02},
-		"burst":  {func(s *loadSpec) { s.burstFactor = 2.3 }, 0.65, 0.1},
+		"steady":       {func(*loadSpec) {}, 0.75, 0.02},
+		"burst":        {func(s *loadSpec) { s.burstFactor = 2.3 }, 0.65, 0.1},
+		"few replicas": {func(s *loadSpec) { s.popularPlaces = 0.125 }, 0.75, 0.02},
 		"release": {func(s *loadSpec) {
 			s.releaseFrom, s.releaseGap = 8*time.Second, 70*time.Millisecond*divisor
 		}, 0.55, 0.3},
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -32,6 +32,8 @@
 	// outdatedDemands is the set of instances whose agents must be sent a new demand.
 	outdatedDemands map[string]bool
 	requests        map[RequestID]*request
+	// options is used by choose.
+	options []option
 	// waiting holds the requests that are not at an endpoint, in the order in which they
 	// are served: by priority, then by deadline.
 	waiting []*request
