core/relay: an endpoint that rejects for lack of room is left alone for a while

Cause: a rejection concerned only the request that was rejected; it was sent there again after 0.1 s, and each other waiting request too. Each try uses up retries that all requests share.

Change: after a rejection the router sends the endpoint nothing for that model for 0.1 s, then 0.2, 0.4 and 0.8 s, until a report shows room or an answer begins. Its other models are not concerned, nor are services without models.

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -42,7 +42,7 @@
 	cachedInstance, cachedTokens := s.promptIndex.cachedTokens(r)
 	successors := s.versionSuccessors(r)
 	for _, e := range s.candidates(r.Service, r.Item.Model) {
-		if !s.canServe(e, r) || e.full() || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) || s.awaitsRecord(e, r) {
+		if !s.canServe(e, r) || e.full() || e.shedsAt(r.Item.Model, s.now) || s.wouldStallStreams(e, r) || !s.mayAsk(e) || !e.self.takesRequest(s.now) || s.awaitsRecord(e, r) {
 			continue
 		}
 		if !e.limit.InForce() {
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -54,6 +54,9 @@
 		s.removeMissingItem(r, e)
 		s.retryOrRefuse(r, nil)
 	case Shed:
+		if r.Item.Model != "" {
+			s.emitWake(e.noteShed(r.Item.Model, s.now))
+		}
 		s.retryOrRefuse(r, e)
 	case Broken, Failed:
 		if ev.Result == Failed {
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -65,6 +65,8 @@
 	otherRouterRequestCount int
 	// answeredAt is the time at which the endpoint last began or ended an answer; zero if it never did.
 	answeredAt time.Time
+	// shed has the models for which the endpoint has rejected requests since it last had room.
+	shed map[string]shedPause
 	// failureRate is a moving average, from 0 to 1.
 	failureRate float64
 	// ejectedUntil is the time until which the endpoint is used only if there is no other;
@@ -179,6 +181,9 @@
 	}
 	e.Stock = r
 	e.hasAgent = true
+	if r.Running+r.Waiting < e.Slots {
+		clear(e.shed)
+	}
 	e.attemptCountSinceReport, e.attemptCountBeforeReport = 0, e.attemptCountSinceReport
 	e.otherRouterRequestCount = max(r.Running+r.Waiting-e.runningAttemptCount, 0)
 	e.leaving.agent = r.Leaving
@@ -217,6 +222,7 @@
 // speed.
 func (e *endpoint) recordAnswerStart(r *request, now time.Time) {
 	e.answeredAt = now
+	delete(e.shed, r.Item.Model)
 	e.prefillTokens -= r.TokensIn
 	took := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
 	if r.TokensIn > 0 && took > 0 {
