io/conns, platform, io/hosts: bounded bodies are read in pieces

TestEndlessAnswerToCall/chunks/report failed there too, once: chunks of one byte take so long beside load that the call ends at its timeout before its bound, so that it is no malformed answer. That form keeps the bounds of memory and time; a form with chunks of 64 bytes takes its place where a malformed answer is expected.

--- a/fakes/endless.go
+++ b/fakes/endless.go
@@ -42,6 +42,7 @@
 		"body of elements":  {Start: ok + "\r\n{\"models\":[{}", More: strings.Repeat(",{}", 1024)},
 		"nested body":       {Start: ok + "\r\n", More: strings.Repeat("[", 4096)},
 		"chunks":            {Start: chunked, More: strings.Repeat("1\r\nx\r\n", 512)},
+		"long chunks":       {Start: chunked, More: strings.Repeat("40\r\n"+strings.Repeat("x", 64)+"\r\n", 64)},
 		"chunk extension":   {Start: chunked + "1;", More: long},
 		"trailer":           {Start: chunked + "0\r\n", More: distinctHeaderLines()},
 	}
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -93,8 +92,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fleet.HostList{}, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	// A decoder's buffer would grow to twice the bound.
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	text, err := conns.ReadBounded(resp.Body, maxListBytes)
 	if err != nil {
 		return fleet.HostList{}, fmt.Errorf("read list: %w", err)
 	}
