core/relay: say why a lost attempt is no evidence of a crash

A router dropped attempts that endpoints broke off without a line or a count, and the line of a crash had neither its source nor the age of its evidence, so that missing and late evidence could not be told from evidence that does not count. Each dropped attempt has a line and a counter by reason now, and each crash found-by and age-ms. No decision changes.

--- a/core/relay/effects.go
+++ b/core/relay/effects.go
@@ -311,9 +311,13 @@
 // EndpointCrashed reports the crash of an endpoint, for the log.
 type EndpointCrashed struct {
 	Endpoint string
-	// Lost is the number of this router's attempts that the crash ended before they were answered.
+	// Lost is the number of this router's attempts that the crash ended before they were answered,
+	// LostAt the time at which the first of them ended.
 	Lost     int
+	LostAt   time.Time
 	Suspects []poison.Suspect
+	// Source is how the crash was found.
+	Source crashSource
 }
 
 // Kind implements event.Effect.
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -40,12 +40,12 @@
 		e.recordOutcome(true, s.now)
 		e.ejectedUntil = s.now.Add(unreachableDuration)
 		if ev.Refused && !e.Leaving && !e.reportedUpSince(e.lastLostAt()) {
-			s.reportCrash(e)
+			s.reportCrash(e, foundByRefusal)
 		}
 		s.retryOrRefuse(r, e)
 	case Replaced:
 		if !e.Leaving {
-			s.reportCrash(e)
+			s.reportCrash(e, foundByAnswer)
 		}
 		e.leaving.replacedAt = s.now
 		e.deriveLeaving()
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -58,10 +58,11 @@
 		s.unassignLoads(id)
 		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
 			if !wasLeaving {
-				s.reportCrash(old[id])
+				s.reportCrash(old[id], foundByAddress)
 			}
 			s.abortAttempts(old[id])
 		}
+		s.discardLost(old[id], lossForgotten, old[id].lostAttempts...)
 	}
 	if changed || len(old) > 0 {
 		s.noteVersions()
@@ -155,7 +156,7 @@
 	if e.mayBeForeign(m) {
 		return &formerIncarnation{e, readAt}
 	}
-	s.reportCrash(e)
+	s.reportCrash(e, foundByIncarnation)
 	s.abortAttempts(e)
 	s.forgetSelfStatus(e)
 	return nil
@@ -189,12 +190,13 @@
 	s.retryBudget.routerCount = s.estimateRouters(s.mostRoutersReported())
 	s.adoptLimits(ev.Report)
 	if ev.Report.Down && !e.Leaving {
-		s.reportCrash(e)
+		s.reportCrash(e, foundByAgent)
 	}
 	if ev.Report.Down {
 		s.forgetSelfStatus(e)
 		s.forgetSoftware(e)
 	}
+	s.discardOldLost(e)
 	s.applyVerdicts(e, ev.Report)
 	s.spreadVerdicts(e)
 	s.unassignLoadsIfLeaving(e)
@@ -232,7 +234,7 @@
 	s.dropLimit(e)
 	s.followedAll = nil
 	if !e.Leaving {
-		s.reportCrash(e)
+		s.reportCrash(e, foundByRestart)
 	}
 	e.Leaving = true
 	s.unassignLoads(e.Instance)
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -46,6 +46,8 @@
 
 // lostAttempt is an attempt whose connection the endpoint closed before it had answered.
 type lostAttempt struct {
+	// attemptID is that of the request.
+	attemptID      string
 	sentAt, lostAt time.Time
 	// suspects are the suspects in the request, without SentAt and Answering.
 	suspects []poison.Suspect
@@ -132,18 +134,31 @@
 // noteLostAttempt notes an attempt whose connection the endpoint has closed, in case the endpoint
 // has crashed.
 func (s *State) noteLostAttempt(r *request, e *endpoint, ev AttemptEnded) {
-	if !ev.Cut || e.Leaving || r.answerBegan && !s.now.Before(r.answerBeganAt.Add(answerSettleTime)) {
+	lost := lostAttempt{
+		attemptID: r.AttemptID, sentAt: r.sentAt, lostAt: s.now, suspects: s.suspectsIn(r), answering: ev.HeadReceived,
+	}
+	switch {
+	case !ev.Cut && s.endpoint(e.Instance) != e:
+		s.discardLost(e, lossBrokenOff, lost)
+		return
+	case !ev.Cut:
+		return
+	case e.Leaving:
+		s.discardLost(e, lossOfLeaving, lost)
+		return
+	case r.answerBegan && !s.now.Before(r.answerBeganAt.Add(answerSettleTime)):
+		s.discardLost(e, lossAfterAnswer, lost)
 		return
 	}
+	s.discardOldLost(e)
 	if len(e.lostAttempts) >= maxLostAttempts {
+		s.discardLost(e, lossTooMany, e.lostAttempts[0])
 		e.lostAttempts = e.lostAttempts[1:]
 	}
-	e.lostAttempts = append(e.lostAttempts, lostAttempt{
-		sentAt: r.sentAt, lostAt: s.now, suspects: s.suspectsIn(r), answering: ev.HeadReceived,
-	})
+	e.lostAttempts = append(e.lostAttempts, lost)
 	switch {
 	case e.Stock.Down:
-		s.reportCrash(e)
+		s.reportCrash(e, foundByAgent)
 	case !e.hasAgent && !e.checkingPort:
 		// No agent tells that the endpoint is gone, and the router may not use it again for long.
 		e.checkingPort = true
@@ -178,7 +193,7 @@
 		return
 	}
 	e.ejectedUntil = s.now.Add(unreachableDuration)
-	s.reportCrash(e)
+	s.reportCrash(e, foundByPort)
 }
 
 // lastLostAt returns the time at which the last attempt was lost that a crash may have ended; zero if
@@ -197,16 +212,16 @@
 
 // reportCrash reports the crash of an endpoint to the judges, with the parts of the requests that
 // were lost in it. It does nothing if the router has lost none.
-func (s *State) reportCrash(e *endpoint) {
-	since := s.now.Add(-crashConfirmTime)
-	lost := slices.DeleteFunc(e.lostAttempts, func(a lostAttempt) bool { return a.lostAt.Before(since) })
+func (s *State) reportCrash(e *endpoint, source crashSource) {
+	s.discardOldLost(e)
+	lost := e.lostAttempts
 	e.lostAttempts = nil
 	if len(lost) == 0 {
 		return
 	}
 	c := poison.Crash{Instance: e.Instance, At: lost[0].lostAt, Suspects: suspectsOf(lost)}
 	s.emitCount("crashes")
-	s.emit(EndpointCrashed{Endpoint: e.Instance, Lost: len(lost), Suspects: c.Suspects})
+	s.emit(EndpointCrashed{Endpoint: e.Instance, Lost: len(lost), LostAt: c.At, Suspects: c.Suspects, Source: source})
 	if len(c.Suspects) == 0 {
 		return
 	}
--- a/io/relayd/poison.go
+++ b/io/relayd/poison.go
@@ -35,6 +35,8 @@
 		go x.d.checkPort(x.ctx, eff)
 	case relay.EndpointCrashed:
 		x.d.logCrash(eff)
+	case relay.LossDiscarded:
+		x.d.logDiscarded(eff)
 	case relay.VerdictChanged:
 		x.d.noteVerdict(eff.Verdict)
 		x.d.logVerdict(eff)
@@ -85,11 +87,20 @@
 
 // logCrash logs the crash of an endpoint.
 func (d *Daemon) logCrash(eff relay.EndpointCrashed) {
-	d.log.Warn().Str("endpoint", eff.Endpoint).Int("lost", eff.Lost).
+	d.log.Warn().Str("endpoint", eff.Endpoint).Int("lost", eff.Lost).Str("found-by", string(eff.Source)).
+		Int64("age-ms", time.Since(eff.LostAt).Milliseconds()).
 		Strs("suspects", lo.Map(eff.Suspects, func(s poison.Suspect, _ int) string { return s.Part.String() })).
 		Msg("endpoint crashed")
 }
 
+// logDiscarded logs that a lost attempt does not count as the crash of its endpoint.
+func (d *Daemon) logDiscarded(eff relay.LossDiscarded) {
+	d.log.Info().Str("request", eff.AttemptID).Str("endpoint", eff.Endpoint).Str("why", string(eff.Reason)).
+		Int64("age-ms", time.Since(eff.LostAt).Milliseconds()).
+		Strs("suspects", lo.Map(eff.Suspects, func(s poison.Suspect, _ int) string { return s.Part.String() })).
+		Msg("lost attempt not counted as a crash")
+}
+
 // logVerdict logs a new verdict on a prompt part.
 func (d *Daemon) logVerdict(eff relay.VerdictChanged) {
 	v := eff.Verdict
