soak: prompts that crash replicas alone, with entries that go or stay; a test that is red

Reproduces the users' report of requests with a deadly prompt part that are passed on long after its fifth crash, on real processes and without load: replicas crash behind proxies that go on accepting connections, and only the endpoint list tells of it, as the entry is removed at once or after three heartbeats. The soak counts the sound streams that begin, in calm and beside deadly prompts.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -22,6 +22,8 @@
 	ModelReplicas int           `long:"sides" value-name:"N" default:"4" description:"number of model replicas, each with an agent"`
 	Callers       int           `long:"callers" value-name:"N" default:"16" description:"number of concurrent callers"`
 	OnlyPauses    bool          `long:"only-pauses" description:"inject only pauses of replicas, stops of routers and changes of routes beside them"`
+	OnlyPrompts   bool          `long:"only-prompts" description:"inject only prompts on which replicas crash"`
+	EntryKept     time.Duration `long:"entry-kept" value-name:"TIME" description:"how long the entry of a replica that crashes stays in the store"`
 	Dir           string        `long:"dir" value-name:"FOLDER" description:"directory for logs and settings; a new temporary one if left out"`
 }
 
@@ -67,6 +69,6 @@
 	}
 	return soak.Run(context.Background(), soak.Options{
 		Bin: bin, Dir: dir, Seed: seed, FaultDuration: c.FaultDuration, RouterCount: c.Routers, ModelReplicaCount: c.ModelReplicas, CallerCount: c.Callers,
-		OnlyPauses: c.OnlyPauses,
+		OnlyPauses: c.OnlyPauses, OnlyPrompts: c.OnlyPrompts, EntryKept: c.EntryKept,
 	})
 }
--- a/soak/prompts.go
+++ b/soak/prompts.go
@@ -34,6 +34,10 @@
 	// requests have in common: their first parts, and those of sessions.
 	prefixCount  = 3
 	sessionCount = 20
+	// minSoundRatio is the smallest share of the sound streams that must begin beside deadly prompts, of that
+	// in calm. It is checked if minSoundStreams were sent.
+	minSoundRatio   = 0.5
+	minSoundStreams = 20
 )
 
 // deadlyPart is a prompt part on which replicas crash. depth is the number of parts before it.
@@ -125,6 +129,58 @@
 	}
 }
 
+// soundCounts are the numbers of streams without a deadly part that were sent, and of those whose answers began:
+// in calm before the first crash by a deadly part, and between the bound for a part and its end.
+type soundCounts struct {
+	CalmSent     int `json:"calm-sent"`
+	CalmBegun    int `json:"calm-begun"`
+	TaintedSent  int `json:"tainted-sent"`
+	TaintedBegun int `json:"tainted-begun"`
+}
+
+// countSound counts the streams without a deadly part.
+func (h *harness) countSound() soundCounts {
+	calmUntil, taintedFrom := h.deadlyUntil, h.deadlyUntil
+	for _, crashes := range h.promptCrashes() {
+		if crashes[0].Before(calmUntil) {
+			calmUntil = crashes[0]
+		}
+		if at := bound(crashes); !at.IsZero() && at.Before(taintedFrom) {
+			taintedFrom = at
+		}
+	}
+	var n soundCounts
+	for _, o := range h.callers.snapshot() {
+		if !o.isStream() || o.deadlyPart != "" || o.resumed != nil {
+			continue
+		}
+		begun := 0
+		if o.status == http.StatusOK {
+			begun = 1
+		}
+		switch {
+		case o.endedAt.Before(calmUntil):
+			n.CalmSent, n.CalmBegun = n.CalmSent+1, n.CalmBegun+begun
+		case o.sentAt.After(taintedFrom) && o.sentAt.Before(h.deadlyUntil):
+			n.TaintedSent, n.TaintedBegun = n.TaintedSent+1, n.TaintedBegun+begun
+		}
+	}
+	return n
+}
+
+// checkSound reports a violation if streams without a deadly part began far less often beside deadly ones than
+// in calm.
+func (h *harness) checkSound() {
+	n := h.countSound()
+	if n.TaintedSent < minSoundStreams || n.CalmSent == 0 {
+		return
+	}
+	calm, tainted := float64(n.CalmBegun)/float64(n.CalmSent), float64(n.TaintedBegun)/float64(n.TaintedSent)
+	if tainted < minSoundRatio*calm {
+		h.addViolation("%d of %d sound streams began beside deadly prompts, %d of %d before", n.TaintedBegun, n.TaintedSent, n.CalmBegun, n.CalmSent)
+	}
+}
+
 // isExcused reports whether the arrival of a request does not count: its router was disturbed, or
 // it was sent before the bound and the link to the replica, or its silence, may have delayed it.
 func (h *harness) isExcused(o outcome, a mock.Arrival, bound time.Time) bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -56,6 +56,10 @@
 	CallerCount int
 	// OnlyPauses leaves out all faults but the pauses of replicas and what they coincide with.
 	OnlyPauses bool
+	// OnlyPrompts leaves out all faults but prompts on which replicas crash.
+	OnlyPrompts bool
+	// EntryKept is how long the entry of a replica that crashes stays in the store.
+	EntryKept time.Duration
 }
 
 // Report is the result of a run.
@@ -66,6 +70,8 @@
 	FaultCounts  map[string]int `json:"faults"`
 	// PromptCrashCounts has the number of crashes by each deadly prompt part.
 	PromptCrashCounts map[string]int `json:"prompt-crashes"`
+	// SoundCounts are the numbers of streams without a deadly part, in calm and beside deadly ones.
+	SoundCounts soundCounts `json:"sound-streams"`
 	// LongestGapMS is the longest period in which the process of the harness was not
 	// scheduled. A delay shorter than that may be caused by the harness instead of the
 	// fleet.
@@ -108,6 +114,9 @@
 	if err != nil {
 		return Report{}, err
 	}
+	for _, r := range h.fleet.replicas {
+		r.KeepEntryAfterCrash(opts.EntryKept)
+	}
 	if err := h.awaitReady(ctx); err != nil {
 		return Report{}, err
 	}
@@ -169,6 +178,10 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	if h.opts.OnlyPrompts {
+		wg.Go(func() { h.poisonPrompts(ctx, rand.New(rand.NewPCG(h.opts.Seed, 8))) })
+		return
+	}
 	wg.Go(func() { h.pauseReplicas(ctx, rand.New(rand.NewPCG(h.opts.Seed, 10))) })
 	if h.opts.OnlyPauses {
 		wg.Go(func() { h.pauseReplicas(ctx, rand.New(rand.NewPCG(h.opts.Seed, 11))) })
@@ -307,6 +320,9 @@
 	h.checkLimits()
 	h.checkOutcomesKnown()
 	h.checkPrompts()
+	if h.opts.OnlyPrompts {
+		h.checkSound()
+	}
 	h.checkPauses()
 	h.checkOrders()
 	h.checkMemory()
@@ -368,6 +384,7 @@
 		Seed: h.opts.Seed, StatusCounts: make(map[int]int), FaultCounts: h.faultCounts, PromptCrashCounts: make(map[string]int),
 		Violations: h.violations,
 	}
+	r.SoundCounts = h.countSound()
 	for part, crashes := range h.promptCrashes() {
 		r.PromptCrashCounts[part] = len(crashes)
 	}
