core/relay: a crash counts in whatever order its attempts and its end are told

Callers saw requests with a deadly prompt part served to endpoint after endpoint long after its fifth crash, and sound requests beside them fail as endpoints went down (BUDGET, LOST).

Cause: a router that lost attempts waited for one of a few sources to say that the endpoint had ended, and asked none itself if the endpoint had an agent. If the entry was removed first, what was noted went with it; if the list was faster than the agent's word, the crash was reported seconds later, with the removal of the old entry. Evidence hung on the order of sources, a class of its own: two facts that make a third were kept in one order only.

Now lost attempts and the end of an incarnation are both remembered for 5 s, and whichever comes second reports the crash. The removal of an entry without a word of leaving, a later incarnation at the address beside the entry, and a port that refuses a connection right after the loss are ends, too; attempts that the router breaks off at an ended endpoint count as lost. What is reported later of the same crash is added to it.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -24,6 +24,8 @@
 	OnlyPauses    bool          `long:"only-pauses" description:"inject only pauses of replicas, stops of routers and changes of routes beside them"`
 	OnlyPrompts   bool          `long:"only-prompts" description:"inject only prompts on which replicas crash"`
 	EntryKept     time.Duration `long:"entry-kept" value-name:"TIME" description:"how long the entry of a replica that crashes stays in the store"`
+	PortsRefuse   bool          `long:"ports-refuse" description:"let the ports of a replica refuse connections while it is down"`
+	RestartWithin time.Duration `long:"restart-within" value-name:"TIME" description:"longest time after which a replica that crashed on a prompt starts again; 1 to 3 s if left out"`
 	Dir           string        `long:"dir" value-name:"FOLDER" description:"directory for logs and settings; a new temporary one if left out"`
 }
 
@@ -69,6 +71,6 @@
 	}
 	return soak.Run(context.Background(), soak.Options{
 		Bin: bin, Dir: dir, Seed: seed, FaultDuration: c.FaultDuration, RouterCount: c.Routers, ModelReplicaCount: c.ModelReplicas, CallerCount: c.Callers,
-		OnlyPauses: c.OnlyPauses, OnlyPrompts: c.OnlyPrompts, EntryKept: c.EntryKept,
+		OnlyPauses: c.OnlyPauses, OnlyPrompts: c.OnlyPrompts, EntryKept: c.EntryKept, PortsRefuse: c.PortsRefuse, RestartWithin: c.RestartWithin,
 	})
 }
--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -39,14 +39,12 @@
 	case Unsent:
 		e.recordOutcome(true, s.now)
 		e.ejectedUntil = s.now.Add(unreachableDuration)
-		if ev.Refused && !e.Leaving && !e.reportedUpSince(e.lastLostAt()) {
-			s.reportCrash(e, foundByRefusal)
+		if ev.Refused && !e.refusedLive() {
+			s.endIncarnation(e, foundByRefusal)
 		}
 		s.retryOrRefuse(r, e)
 	case Replaced:
-		if !e.Leaving {
-			s.reportCrash(e, foundByAnswer)
-		}
+		s.endIncarnation(e, foundByAnswer)
 		e.leaving.replacedAt = s.now
 		e.deriveLeaving()
 		s.retryOrRefuse(r, e)
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -106,8 +106,11 @@
 	// askAgainAt is the time until which the endpoint's agent is not asked for permits, as it
 	// did not answer.
 	askAgainAt time.Time
-	// lostAttempts are the attempts that the endpoint's crash may have ended.
+	// lostAttempts are the attempts that the endpoint's crash may have ended, end is what is known of its end,
+	// crashes the number of reports of its crash.
 	lostAttempts []lostAttempt
+	end          incarnationEnd
+	crashes      int
 	// checkingPort reports whether the answer to CheckPort is awaited.
 	checkingPort bool
 	// toldCrashCount is the number of the router's crashes (poisonState.crashCount) when the agent
@@ -222,6 +225,7 @@
 // speed.
 func (e *endpoint) recordAnswerStart(r *request, now time.Time) {
 	e.answeredAt = now
+	e.end = incarnationEnd{}
 	delete(e.shed, r.Item.Model)
 	e.prefillTokens -= r.TokensIn
 	took := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
--- a/core/relay/former.go
+++ b/core/relay/former.go
@@ -40,7 +40,7 @@
 func (s *State) endFormer(e *endpoint, readAt time.Time) {
 	if f := e.former; f != nil && readAt.Sub(f.listedUntil) >= replacedTimeout {
 		e.former = nil
-		s.reportCrash(f.endpoint, foundByIncarnation)
+		s.endIncarnation(f.endpoint, foundByIncarnation)
 		s.abortAttempts(f.endpoint)
 	}
 }
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -57,13 +57,13 @@
 		s.reportLeaving(old[id], wasLeaving, EndpointLeaving{Source: sourceStore, ReadAt: ev.ReadAt})
 		s.unassignLoads(id)
 		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
-			if !wasLeaving {
-				s.reportCrash(old[id], foundByAddress)
-			}
+			s.endIncarnation(old[id], foundByAddress)
 			s.abortAttempts(old[id])
+			continue
 		}
-		s.discardLost(old[id], lossForgotten, old[id].lostAttempts...)
+		s.endIncarnation(old[id], foundByRemoval)
 	}
+	s.endReplaced()
 	if changed || len(old) > 0 {
 		s.noteVersions()
 	}
@@ -105,6 +105,7 @@
 func (s *State) abortAttempts(e *endpoint) {
 	for _, r := range s.sortedRequests() {
 		if r.target == e {
+			r.brokenOff = true
 			s.emitCount("attempts.broken-off")
 			s.emit(AbortAttempt{ID: r.id, Try: r.attemptCount})
 		}
@@ -156,7 +157,7 @@
 	if e.mayBeForeign(m) {
 		return &formerIncarnation{e, readAt}
 	}
-	s.reportCrash(e, foundByIncarnation)
+	s.endIncarnation(e, foundByIncarnation)
 	s.abortAttempts(e)
 	s.forgetSelfStatus(e)
 	return nil
@@ -183,16 +184,18 @@
 		return
 	}
 	first := !e.hasAgent
+	if e.Stock.Down && !ev.Report.Down {
+		// Another process may serve under the same name.
+		e.end = incarnationEnd{}
+	}
 	wasLeaving := e.Leaving
 	s.updateStock(e, func() { e.applyReport(ev.Report, s.now) })
 	s.reportLeaving(e, wasLeaving, EndpointLeaving{Source: sourceAgent, Listed: true, ReadAt: s.now})
 	e.hasSparseReports = s.followsSubset()
 	s.retryBudget.routerCount = s.estimateRouters(s.mostRoutersReported())
 	s.adoptLimits(ev.Report)
-	if ev.Report.Down && !e.Leaving {
-		s.reportCrash(e, foundByAgent)
-	}
 	if ev.Report.Down {
+		s.endIncarnation(e, foundByAgent)
 		s.forgetSelfStatus(e)
 		s.forgetSoftware(e)
 	}
@@ -233,9 +236,7 @@
 	s.index.drop(e)
 	s.dropLimit(e)
 	s.followedAll = nil
-	if !e.Leaving {
-		s.reportCrash(e, foundByRestart)
-	}
+	s.endIncarnation(e, foundByRestart)
 	e.Leaving = true
 	s.unassignLoads(e.Instance)
 	s.abortAttempts(e)
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -15,12 +15,6 @@
 const (
 	// judgeCount is the number of agents that judge the prompt parts of a service.
 	judgeCount = 3
-	// crashConfirmTime is how long after the end of an attempt its endpoint may be found to have
-	// crashed, for the attempt to count as ended by the crash.
-	crashConfirmTime = 5 * time.Second
-	// answerSettleTime is how long an answer must have gone on before a crash for the endpoint not
-	// to have crashed from it.
-	answerSettleTime = 200 * time.Millisecond
 	// verdictInterval is the shortest time between two reports of verdicts to one agent.
 	verdictInterval = 200 * time.Millisecond
 	// verdictRetryInterval is the time after which an agent that still lacks the same verdicts, and has
@@ -38,23 +32,10 @@
 	maxSharedParts = 64
 	// maxReportedSuspects is the number of suspects that are reported of a crash, as many as a judge keeps.
 	maxReportedSuspects = 256
-	// maxLostAttempts and maxRecentCrashes bound the memory for crashes: the number of lost attempts
-	// at one endpoint, and of crashes.
-	maxLostAttempts  = 128
+	// maxRecentCrashes bounds the memory for crashes.
 	maxRecentCrashes = 16
 )
 
-// lostAttempt is an attempt whose connection the endpoint closed before it had answered.
-type lostAttempt struct {
-	// attemptID is that of the request.
-	attemptID      string
-	sentAt, lostAt time.Time
-	// suspects are the suspects in the request, without SentAt and Answering.
-	suspects []poison.Suspect
-	// answering reports whether the endpoint had begun to answer.
-	answering bool
-}
-
 // recentCrash is a crash that was reported to the judges of a service.
 type recentCrash struct {
 	service string
@@ -131,120 +112,29 @@
 	}
 }
 
-// noteLostAttempt notes an attempt whose connection the endpoint has closed, in case the endpoint
-// has crashed.
-func (s *State) noteLostAttempt(r *request, e *endpoint, ev AttemptEnded) {
-	lost := lostAttempt{
-		attemptID: r.AttemptID, sentAt: r.sentAt, lostAt: s.now, suspects: s.suspectsIn(r), answering: ev.HeadReceived,
-	}
-	switch {
-	case !ev.Cut && s.endpoint(e.Instance) != e:
-		s.discardLost(e, lossBrokenOff, lost)
-		return
-	case !ev.Cut:
-		return
-	case e.Leaving:
-		s.discardLost(e, lossOfLeaving, lost)
-		return
-	case r.answerBegan && !s.now.Before(r.answerBeganAt.Add(answerSettleTime)):
-		s.discardLost(e, lossAfterAnswer, lost)
-		return
-	}
-	s.discardOldLost(e)
-	if len(e.lostAttempts) >= maxLostAttempts {
-		s.discardLost(e, lossTooMany, e.lostAttempts[0])
-		e.lostAttempts = e.lostAttempts[1:]
-	}
-	e.lostAttempts = append(e.lostAttempts, lost)
-	switch {
-	case e.Stock.Down:
-		s.reportCrash(e, foundByAgent)
-	case !e.hasAgent && !e.checkingPort:
-		// No agent tells that the endpoint is gone, and the router may not use it again for long.
-		e.checkingPort = true
-		s.emit(CheckPort{Instance: e.Instance, Address: e.Address})
-	}
-}
-
-// suspectsIn returns the suspects in a request: the whole request and the shared parts of its prompt,
-// but for those that have been answered lately.
-func (s *State) suspectsIn(r *request) []poison.Suspect {
+// suspectsIn returns the suspects in the attempt at a request: the whole request and the shared parts of its prompt,
+// but for those that have been answered lately. answering reports whether the endpoint had begun to answer.
+func (s *State) suspectsIn(r *request, answering bool) []poison.Suspect {
 	var suspects []poison.Suspect
 	parts := r.sharedParts()
 	for depth, p := range parts {
-		suspects = append(suspects, poison.Suspect{Part: poison.PartOf(r.Service, p.ID), Depth: depth})
+		suspects = append(suspects, poison.Suspect{Part: poison.PartOf(r.Service, p.ID), SentAt: r.sentAt, Depth: depth, Answering: answering})
 	}
 	if r.Whole != 0 {
-		suspects = append(suspects, poison.Suspect{Part: r.Whole, Depth: len(parts), Whole: true})
+		suspects = append(suspects, poison.Suspect{Part: r.Whole, SentAt: r.sentAt, Depth: len(parts), Answering: answering, Whole: true})
 	}
 	return slices.DeleteFunc(suspects, func(suspect poison.Suspect) bool { return s.poison.answered.Recently(s.now, suspect.Part) })
 }
 
-// handlePortChecked takes an endpoint whose host refuses connections for crashed, if the router has
-// lost attempts there.
-func (s *State) handlePortChecked(ev PortChecked) {
-	s.noteReachable(ev)
-	e := s.endpoint(ev.Instance)
-	if e == nil {
-		return
-	}
-	e.checkingPort = false
-	if !ev.Refused || e.Leaving {
-		return
-	}
-	e.ejectedUntil = s.now.Add(unreachableDuration)
-	s.reportCrash(e, foundByPort)
-}
-
-// lastLostAt returns the time at which the last attempt was lost that a crash may have ended; zero if
-// there is none.
-func (e *endpoint) lastLostAt() time.Time {
-	if len(e.lostAttempts) == 0 {
-		return time.Time{}
-	}
-	return e.lostAttempts[len(e.lostAttempts)-1].lostAt
-}
-
-// reportedUpSince reports whether the endpoint's agent has reported it as up since the given time.
-func (e *endpoint) reportedUpSince(at time.Time) bool {
-	return e.hasAgent && !e.Stock.Down && e.reportedAt.After(at)
-}
-
-// reportCrash reports the crash of an endpoint to the judges, with the parts of the requests that
-// were lost in it. It does nothing if the router has lost none.
-func (s *State) reportCrash(e *endpoint, source crashSource) {
-	s.discardOldLost(e)
-	lost := e.lostAttempts
-	e.lostAttempts = nil
-	if len(lost) == 0 {
-		return
-	}
-	c := poison.Crash{Instance: e.Instance, At: lost[0].lostAt, Suspects: suspectsOf(lost)}
-	s.emitCount("crashes")
-	s.emit(EndpointCrashed{Endpoint: e.Instance, Lost: len(lost), LostAt: c.At, Suspects: c.Suspects, Source: source})
-	if len(c.Suspects) == 0 {
-		return
-	}
-	if len(s.poison.crashes) >= maxRecentCrashes {
-		s.poison.crashes = s.poison.crashes[1:]
-	}
-	s.poison.crashes = append(s.poison.crashes, recentCrash{e.Service, c})
-	s.poison.crashCount++
-	s.informJudges()
-	s.followUpdatePending = s.followUpdatePending || s.followsSubset()
-}
-
-// suspectsOf merges the suspects of lost attempts, sorted by part. If there are too many, those of
-// requests that the endpoint had begun to answer are kept.
-func suspectsOf(lost []lostAttempt) []poison.Suspect {
+// mergeSuspects merges the suspects of one crash, sorted by part. If there are too many, those of requests that
+// the endpoint had begun to answer are kept.
+func mergeSuspects(suspects []poison.Suspect) []poison.Suspect {
 	merged := make(map[poison.Part]poison.Suspect)
-	for _, a := range lost {
-		for _, suspect := range a.suspects {
-			old := merged[suspect.Part]
-			suspect.SentAt, suspect.Answering = laterTime(a.sentAt, old.SentAt), a.answering || old.Answering
-			suspect.Depth = max(suspect.Depth, old.Depth)
-			merged[suspect.Part] = suspect
-		}
+	for _, suspect := range suspects {
+		old := merged[suspect.Part]
+		suspect.SentAt, suspect.Answering = laterTime(suspect.SentAt, old.SentAt), suspect.Answering || old.Answering
+		suspect.Depth = max(suspect.Depth, old.Depth)
+		merged[suspect.Part] = suspect
 	}
 	list := make([]poison.Suspect, 0, len(merged))
 	for _, suspect := range merged {
@@ -261,6 +151,21 @@
 	return list
 }
 
+// addRecentCrash adds a crash to those that are reported to judges. What was reported of it before is replaced.
+func (s *State) addRecentCrash(service string, c poison.Crash) {
+	known := slices.IndexFunc(s.poison.crashes, func(o recentCrash) bool { return o.service == service && o.crash.Instance == c.Instance })
+	if known >= 0 {
+		before := s.poison.crashes[known].crash
+		c.At, c.Suspects = before.At, mergeSuspects(append(slices.Clone(before.Suspects), c.Suspects...))
+		s.poison.crashes = slices.Delete(s.poison.crashes, known, known+1)
+	}
+	if len(s.poison.crashes) >= maxRecentCrashes {
+		s.poison.crashes = s.poison.crashes[1:]
+	}
+	s.poison.crashes = append(s.poison.crashes, recentCrash{service, c})
+	s.poison.crashCount++
+}
+
 // recentCrashes forgets crashes from before crashResendTime and returns the others.
 func (s *State) recentCrashes() []recentCrash {
 	since := s.now.Add(-crashResendTime)
--- a/core/relay/poison_test.go
+++ b/core/relay/poison_test.go
@@ -415,7 +415,7 @@
 			}
 			e := router.state.endpoint(send.Instance)
 			router.state.now, router.state.effects = router.now, nil
-			router.state.reportCrash(e, foundByAgent)
+			router.state.endIncarnation(e, foundByAgent)
 			router.advance(followInterval)
 			for _, judge := range router.state.judges(llm) {
 				_, ok := router.state.followed[judge.Instance]
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -96,6 +96,8 @@
 	// has been received, answerBeganAt the time of it.
 	answerBegan   bool
 	answerBeganAt time.Time
+	// brokenOff reports whether the router has broken off the attempt in progress, as its endpoint has ended.
+	brokenOff bool
 	// sentAt is the start time of the attempt in progress.
 	sentAt time.Time
 	// attemptCount is the number of all attempts, possibleRunCount the number of those that may
@@ -326,7 +328,7 @@
 // send starts an attempt at e.
 func (s *State) send(r *request, e *endpoint, basis Basis) {
 	s.stopWaiting(r)
-	r.target, r.answerBegan, r.sentAt, r.permit, r.sentSoftware = e, false, s.now, nil, e.Software
+	r.target, r.answerBegan, r.brokenOff, r.sentAt, r.permit, r.sentSoftware = e, false, false, s.now, nil, e.Software
 	r.attemptCount++
 	e.addAttempt(r)
 	if e.self.returning {
--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -16,16 +16,18 @@
 	}
 	bin := build(t)
 	for name, c := range map[string]struct {
-		seed      uint64
-		entryKept time.Duration
+		seed        uint64
+		entryKept   time.Duration
+		portsRefuse bool
 	}{
 		"entries removed at once":     {seed: 57000},
 		"entries kept for heartbeats": {seed: 57100, entryKept: 3600 * time.Millisecond},
+		"entries kept, ports refuse":  {seed: 57200, entryKept: 3600 * time.Millisecond, portsRefuse: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			report, err := Run(t.Context(), Options{
 				Bin: bin, Dir: t.TempDir(), Seed: c.seed, FaultDuration: 14 * time.Second, RouterCount: 3, ModelReplicaCount: 8,
-				CallerCount: 12, OnlyPrompts: true, EntryKept: c.entryKept,
+				CallerCount: 12, OnlyPrompts: true, EntryKept: c.entryKept, PortsRefuse: c.portsRefuse,
 			})
 			require.NoError(t, err)
 			assert.Empty(t, report.Violations, "crashes: %v, sound streams: %+v", report.PromptCrashCounts, report.SoundCounts)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -192,6 +192,21 @@
 // zone returns the failure domain of the i-th replica.
 func zone(i int) string { return fmt.Sprintf("zone-%d", i%3) }
 
+// refuseWhileDown has the proxies of a replica refuse connections while it is down, as its host would.
+func (h *harness) refuseWhileDown(r *replica) {
+	r.OnRunning(func(running bool) {
+		for _, p := range []*proxy{r.link, r.agentLink} {
+			err := p.stopListening
+			if running {
+				err = func() error { return p.listen(context.Background()) }
+			}
+			if err := err(); err != nil {
+				h.addViolation("proxy of %s: %v", r.Addr(), err)
+			}
+		}
+	})
+}
+
 // addReplica starts a replica and a proxy in front of it, whose address is the one that the
 // store lists.
 func (f *fleet) addReplica(ctx context.Context, ip netip.Addr, spec mock.Spec) (*replica, error) {
--- a/soak/prompts.go
+++ b/soak/prompts.go
@@ -81,7 +81,11 @@
 		part := deadlyPart{fmt.Sprintf("deadly%d", len(ids)), rnd.IntN(3)}
 		ids = append(ids, part.id)
 		for _, r := range h.fleet.replicas {
-			r.SetDeadlyParts(minRestartDelay+time.Duration(rnd.IntN(int(maxRestartDelay-minRestartDelay))), ids...)
+			delay := minRestartDelay + time.Duration(rnd.IntN(int(maxRestartDelay-minRestartDelay)))
+			if within := h.opts.RestartWithin; within > 0 {
+				delay = time.Duration(rnd.IntN(int(within)))
+			}
+			r.SetDeadlyParts(delay, ids...)
 		}
 		h.callers.setDeadlyPart(part)
 		sleep(ctx, minPoisonTime+time.Duration(rnd.IntN(int(minPoisonTime))))
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -44,10 +44,10 @@
 
 // proxy forwards TCP connections to one address and injects network faults.
 type proxy struct {
-	l  net.Listener
-	to netip.AddrPort
+	addr, to netip.AddrPort
 
 	mu    sync.Mutex
+	l     net.Listener
 	mode  Mode
 	conns map[net.Conn]bool
 	// stalled holds the connections from which nothing is forwarded any more, even if the
@@ -57,20 +57,38 @@
 
 // newProxy starts a proxy that listens at addr and forwards connections to another address.
 func newProxy(ctx context.Context, addr, to netip.AddrPort) (*proxy, error) {
+	p := &proxy{addr: addr, to: to, conns: make(map[net.Conn]bool), stalled: make(map[net.Conn]bool)}
+	return p, p.listen(ctx)
+}
+
+// listen starts to accept connections.
+func (p *proxy) listen(ctx context.Context) error {
 	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", addr.String())
+	l, err := lc.Listen(ctx, "tcp", p.addr.String())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{l: l, to: to, conns: make(map[net.Conn]bool), stalled: make(map[net.Conn]bool)}
-	go p.accept()
-	return p, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.l = l
+	go p.accept(l)
+	return nil
+}
+
+// stopListening lets new connections be refused. Open ones go on.
+func (p *proxy) stopListening() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.l.Close()
 }
 
 // close resets all connections and stops listening.
 func (p *proxy) close() error {
 	p.setMode(Reset)
-	return p.l.Close()
+	if err := p.stopListening(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // setMode changes the mode for open and new connections.
@@ -107,9 +125,9 @@
 }
 
 // accept serves connections until the listener is closed.
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.l.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,6 +60,12 @@
 	OnlyPrompts bool
 	// EntryKept is how long the entry of a replica that crashes stays in the store.
 	EntryKept time.Duration
+	// RestartWithin is the longest time after which a replica that crashed on a prompt starts again; 0 means
+	// maxRestartDelay.
+	RestartWithin time.Duration
+	// PortsRefuse reports whether the ports of a replica refuse connections while it is down. Otherwise they
+	// accept and close them.
+	PortsRefuse bool
 }
 
 // Report is the result of a run.
@@ -116,6 +122,9 @@
 	}
 	for _, r := range h.fleet.replicas {
 		r.KeepEntryAfterCrash(opts.EntryKept)
+		if opts.PortsRefuse {
+			h.refuseWhileDown(r)
+		}
 	}
 	if err := h.awaitReady(ctx); err != nil {
 		return Report{}, err
