core/poison: crashes in a burst count singly if the part alone explains them

Three requests crashed six endpoints in 31 ms and 21 ms; the judges counted two crashes, as endpoints that go down within 150 ms of each other count once. Then nothing could be sent for 3.5 s, and when the endpoints were back eight attempts reached them before the third crash counted. Two whole requests were convicted first, for which that rule does not hold, so that the part needed a fourth crash.

The rule is there for endpoints that are killed together. In such a herd other endpoints go down beside, without the part or before they begin to answer it. Crashes within 150 ms count singly now if each endpoint had begun to answer a request with the part, sent after the crash before, and none went down beside them that had not. No time and no number of crashes has changed; all cases of TestJudgeConvicts stay, and four are new, of which one failed before.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -281,7 +281,7 @@
 
 // crashCounts returns for each suspect the number of its crashes one after the other: a crash
 // counts only if a request with the part was sent after the one before, and herdSpread after it.
-// Endpoints that go down together count as one crash. That a whole request is sent again to an endpoint
+// Endpoints that go down together count as one crash (inHerd). That a whole request is sent again to an endpoint
 // that is about to go down with the others is rare, while one that crashes endpoints is repeated within
 // milliseconds: for it, herdSpread does not apply.
 func (j *Judge) crashCounts(now time.Time) map[Part]crashCount {
@@ -290,7 +290,7 @@
 		explained := j.isExplained(c, now)
 		for p, s := range c.suspects {
 			n := counts[p]
-			isNext := n.all == 0 || s.SentAt.After(n.lastAt) && (s.Whole || c.at.After(n.lastAt.Add(herdSpread)))
+			isNext := n.all == 0 || s.SentAt.After(n.lastAt) && (s.Whole || !j.inHerd(p, n.lastAt, c))
 			if !isNext || !c.isSuspect(p) || j.isUsedUp(p, c.at) {
 				continue
 			}
@@ -308,6 +308,19 @@
 	return counts
 }
 
+// inHerd reports whether a crash may be one of endpoints that went down together with the one at lastAt, so that the part
+// p need not have caused both: they are at most herdSpread apart, and the endpoint had not begun to answer a
+// request with p, or one that had none went down beside them.
+func (j *Judge) inHerd(p Part, lastAt time.Time, c *crash) bool {
+	if c.at.After(lastAt.Add(herdSpread)) {
+		return false
+	}
+	return !c.suspects[p].Answering || slices.ContainsFunc(j.crashes, func(o *crash) bool {
+		beside := !o.at.Before(lastAt.Add(-herdSpread)) && !o.at.After(c.at.Add(herdSpread))
+		return beside && !o.suspects[p].Answering
+	})
+}
+
 // isExplained reports whether a convicted part was in the crash.
 func (j *Judge) isExplained(c *crash, now time.Time) bool {
 	for p := range c.suspects {
--- a/core/poison/judge_test.go
+++ b/core/poison/judge_test.go
@@ -34,6 +34,15 @@
 	return Crash{Instance: instance, At: at(crashedAt), Suspects: lo.Map(parts, func(p Part, _ int) Suspect { return begun(p, crashedAt) })}
 }
 
+// burst returns the crashes of three endpoints within herdSpread, each from a request with part 1 that was sent after
+// the crash before and whose answer had begun.
+func burst() []Crash {
+	return lo.Map([]string{"a", "b", "c"}, func(instance string, n int) Crash {
+		crashedAt := time.Duration(n) * 70 * time.Millisecond
+		return Crash{Instance: instance, At: at(crashedAt), Suspects: []Suspect{{Part: 1, SentAt: at(crashedAt - 60*time.Millisecond), Answering: true}}}
+	})
+}
+
 // decideAll calls Decide at the given time and at all times for which it asks, and returns the
 // convicted parts in order.
 func decideAll(j *Judge, now time.Time) []Part {
@@ -76,6 +85,19 @@
 				{Instance: "c", At: at(140 * time.Millisecond), Suspects: []Suspect{{Part: 1, SentAt: at(80 * time.Millisecond)}}},
 			},
 		},
+		"burst of answers that had begun": {crashes: burst(), want: []Part{1}},
+		"burst, and an endpoint without the part beside it": {
+			crashes: append(burst(), Crash{Instance: "d", At: at(100 * time.Millisecond), Suspects: []Suspect{{Part: 2, SentAt: at(0), Answering: true}}}),
+		},
+		"burst, and an endpoint that had not begun to answer the part": {
+			crashes: append(burst(), Crash{Instance: "d", At: at(100 * time.Millisecond), Suspects: []Suspect{{Part: 1, SentAt: at(0)}}}),
+		},
+		"burst of requests sent before its first crash": {
+			crashes: lo.Map(burst(), func(c Crash, _ int) Crash {
+				c.Suspects[0].SentAt = at(-time.Millisecond)
+				return c
+			}),
+		},
 		"herd, then two crashes": {
 			crashes: []Crash{
 				crashWith("a", 0, 1), crashWith("b", 0, 1), crashWith("c", 10*time.Millisecond, 1),
