soak: crowds of clients that stop short of the end of their bodies; a test that is red

Shows what callers that don't keep to the limits do to a router of the users' platform, a real process: 300 clients send bodies of 1 MiB, whole, in pieces, in large and in small chunks, stop one byte or chunk short of the end and stay connected; others send more than the limit, announced or not. max-bodies is lowered to 4 MiB. The router must live, stay within 184 MB, the memory of the smallest host for callers on the users' pages, and within 500 descriptors, and answer an ordinary request beside the crowd and after it.

--- /dev/null
+++ b/soak/crowd_test.go
@@ -0,0 +1,189 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chervilreach/platform/mock"
+)
+
+const (
+	// crowdSize is the number of clients that misbehave at the same time. Each sends a body of up to
+	// crowdBodyBytes, the largest that the routes of package mock allow.
+	crowdSize      = 300
+	crowdBodyBytes = 1 << 20
+	// crowdStay is how long the crowd stays connected, which is less than a router waits for the end of a body.
+	crowdStay = 3 * time.Second
+	// crowdSettings lower the limit for all bodies together.
+	crowdSettings = `, "max-bodies": "4MiB"`
+	// maxRouterMemory is the memory of the smallest host of the users' platform that serves callers, in kB.
+	maxRouterMemory = 184 << 10
+	// maxRouterFiles bounds the open descriptors of a router: one for each client of the crowd, and those that it
+	// has without them.
+	maxRouterFiles = crowdSize + 200
+)
+
+// crowdForms are what the clients of a crowd send, after which they stay connected.
+var crowdForms = map[string]func(c net.Conn) error{
+	"bodies of legal size": func(c net.Conn) error {
+		_, err := c.Write(append(lengthHead(crowdBodyBytes), make([]byte, crowdBodyBytes-1)...))
+		return err
+	},
+	"bodies of legal size in pieces": func(c net.Conn) error {
+		return writeAll(c, lengthHead(crowdBodyBytes), make([]byte, 4096), crowdBodyBytes/4096-1)
+	},
+	"large chunks": func(c net.Conn) error {
+		return writeAll(c, chunkedHead(), chunk(64<<10), crowdBodyBytes>>16-1)
+	},
+	"small chunks": func(c net.Conn) error {
+		return writeAll(c, chunkedHead(), bytes.Repeat(chunk(16), 256), crowdBodyBytes>>12-1)
+	},
+	"announced over the limit": func(c net.Conn) error {
+		return writeAll(c, lengthHead(64<<20), make([]byte, 64<<10), 64)
+	},
+	"chunks over the limit": func(c net.Conn) error {
+		return writeAll(c, chunkedHead(), chunk(64<<10), 64)
+	},
+}
+
+func lengthHead(length int) []byte { return crowdHead(fmt.Sprintf("Content-Length: %d", length)) }
+
+func chunkedHead() []byte { return crowdHead("Transfer-Encoding: chunked") }
+
+// crowdHead returns the head of a request with a further header line.
+func crowdHead(line string) []byte {
+	text := mock.RequestText(mock.SafePath, "crowd", "", "", 4*time.Second)
+	head, _, _ := strings.Cut(text, "Content-Length")
+	return []byte(head + line + "\r\n\r\n")
+}
+
+// chunk returns a chunk of a chunked body.
+func chunk(size int) []byte {
+	return fmt.Appendf(nil, "%x\r\n%s\r\n", size, make([]byte, size))
+}
+
+// writeAll writes a head, then a piece several times.
+func writeAll(c net.Conn, head, piece []byte, times int) error {
+	if _, err := c.Write(head); err != nil {
+		return err
+	}
+	for range times {
+		if _, err := c.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against clients whose bodies fill the memory of a router (incident of 2026-12-06).
+func TestCrowdOfBodiesLeavesRouterAlive(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for some seconds")
+	}
+	bin := build(t)
+	for i, name := range slices.Sorted(maps.Keys(crowdForms)) {
+		t.Run(name, func(t *testing.T) {
+			f, err := newFleet(t.Context(), bin, t.TempDir(), 31_000+i, fleetSize{routerCount: 1, modelReplicaCount: 1, plainReplicaCount: 2, callerSettings: crowdSettings})
+			if f != nil {
+				defer func() { assert.NoError(t, f.stop()) }()
+			}
+			require.NoError(t, err)
+			router := f.routers[0]
+			require.Eventually(t, func() bool { return isReady(t.Context(), router) }, 20*time.Second, 50*time.Millisecond)
+			require.Equal(t, http.StatusOK, ordinaryCall(t, router, "before"))
+
+			clients := sendCrowd(router, crowdForms[name])
+			defer func() {
+				for _, c := range clients {
+					_ = c.Close()
+				}
+			}()
+			assert.Equal(t, http.StatusOK, ordinaryCall(t, router, "beside"))
+			// The router goes on reading what the kernel holds.
+			time.Sleep(crowdStay)
+			assert.LessOrEqual(t, procStatus(t, router, "VmHWM"), maxRouterMemory, "kB of memory at the peak")
+			assert.LessOrEqual(t, openFiles(t, router), maxRouterFiles, "open descriptors")
+			for _, c := range clients {
+				_ = c.Close()
+			}
+			assert.Equal(t, http.StatusOK, ordinaryCall(t, router, "after"))
+			router.mu.Lock()
+			defer router.mu.Unlock()
+			assert.Zero(t, router.crashCount, "%v", router.crashErr)
+		})
+	}
+}
+
+// sendCrowd has all clients of a crowd connect and send at the same time, and returns their open connections. What
+// they send may be refused, and the connection closed.
+func sendCrowd(router *process, send func(c net.Conn) error) []net.Conn {
+	var (
+		wg    sync.WaitGroup
+		mu    sync.Mutex
+		conns []net.Conn
+	)
+	for range crowdSize {
+		wg.Go(func() {
+			c, err := net.DialTimeout("tcp", addrPort(router.ip, portCallers).String(), 10*time.Second)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			// A router may stop reading from a client that it has refused.
+			if c.SetWriteDeadline(time.Now().Add(20*time.Second)) == nil {
+				_ = send(c)
+			}
+		})
+	}
+	wg.Wait()
+	return conns
+}
+
+// ordinaryCall sends a request with a short body on a new connection and returns the status of the answer.
+func ordinaryCall(t *testing.T, router *process, id string) int {
+	t.Helper()
+	c := dialCaller(router)
+	require.NotNil(t, c, "could not connect")
+	defer c.close()
+	return c.call(id, [2]string{mock.SafePath}, prompt{}).status
+}
+
+// procStatus returns a field of the kernel's status of a process that the test has started.
+func procStatus(t *testing.T, p *process, field string) int {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "status"))
+	require.NoError(t, err, "the process has ended")
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, field+":"); ok {
+			n, err := strconv.Atoi(strings.Fields(rest)[0])
+			require.NoError(t, err)
+			return n
+		}
+	}
+	require.Fail(t, "no field "+field)
+	return 0
+}
+
+// openFiles returns the number of open descriptors of a process that the test has started.
+func openFiles(t *testing.T, p *process) int {
+	t.Helper()
+	entries, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
+	require.NoError(t, err, "the process has ended")
+	return len(entries)
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -125,6 +125,8 @@
 	// modelReplicaCount is the number of replicas that load models, each with an agent;
 	// plain replicas have neither models nor agents.
 	routerCount, modelReplicaCount, plainReplicaCount int
+	// callerSettings are further settings of the routers' section "callers", each after a comma.
+	callerSettings string
 }
 
 // hostIP returns the loopback address of a host. Fleets that run at the same time have
@@ -167,14 +169,14 @@
 		if err != nil {
 			return f, err
 		}
-		p, err := f.addProcess(ctx, dir, "swap", fmt.Sprintf("side-%d", i), ip, storeAddr, r.link)
+		p, err := f.addProcess(ctx, dir, "swap", fmt.Sprintf("side-%d", i), ip, storeAddr, r.link, "")
 		f.agents = append(f.agents, p)
 		if err != nil {
 			return f, err
 		}
 	}
 	for i := range s.routerCount {
-		p, err := f.addProcess(ctx, dir, "relay", fmt.Sprintf("front-%d", i), nextIP(), storeAddr, nil)
+		p, err := f.addProcess(ctx, dir, "relay", fmt.Sprintf("front-%d", i), nextIP(), storeAddr, nil, s.callerSettings)
 		f.routers = append(f.routers, p)
 		if err != nil {
 			return f, err
@@ -231,14 +233,14 @@
 
 // addProcess writes the settings of a process and starts it with a proxy between it and the
 // store. role is the command that the process runs. link is the proxy of the replica of an
-// agent, and nil for a router. The process is returned along with an error too.
-func (f *fleet) addProcess(ctx context.Context, dir, role, name string, ip netip.Addr, store netip.AddrPort, link *proxy) (*process, error) {
+// agent, and nil for a router, for which callerSettings are fleetSize.callerSettings. The process is returned along with an error too.
+func (f *fleet) addProcess(ctx context.Context, dir, role, name string, ip netip.Addr, store netip.AddrPort, link *proxy, callerSettings string) (*process, error) {
 	p := &process{name: name, role: role, ip: ip, settings: filepath.Join(dir, name+".jsonc")}
 	var err error
 	if p.storeLink, err = newProxy(ctx, addrPort(ip, portStore), store); err != nil {
 		return p, fmt.Errorf("start proxy of the store: %w", err)
 	}
-	section := fmt.Sprintf(`"callers": {"listen": %q, "ready": %q}`, addrPort(ip, portCallers), addrPort(ip, portReady))
+	section := fmt.Sprintf(`"callers": {"listen": %q, "ready": %q%s}`, addrPort(ip, portCallers), addrPort(ip, portReady), callerSettings)
 	if link != nil {
 		section = fmt.Sprintf(`"endpoint": {"address": %q, "service": %q}`, addrPort(ip, portReplicaAgent), mock.ModelService)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -113,7 +113,7 @@
 func Run(ctx context.Context, opts Options) (report Report, err error) {
 	rnd := rand.New(rand.NewPCG(opts.Seed, 1))
 	h := &harness{opts: opts, configVersion: 1, faultCounts: make(map[string]int)}
-	h.fleet, err = newFleet(ctx, opts.Bin, opts.Dir, int(opts.Seed%40_000), fleetSize{opts.RouterCount, opts.ModelReplicaCount, 3})
+	h.fleet, err = newFleet(ctx, opts.Bin, opts.Dir, int(opts.Seed%40_000), fleetSize{routerCount: opts.RouterCount, modelReplicaCount: opts.ModelReplicaCount, plainReplicaCount: 3})
 	if h.fleet != nil {
 		defer func() { err = errors.Join(err, h.fleet.stop()) }()
 	}
