io/bodies: memory for bodies is reserved before bytes are kept

Clients that don't keep to the limits ended a router, which ran out of memory: many large bodies at once, whole, in pieces or in chunks, most of them stopping short of the end and staying connected.

Cause: callers.max-bodies counted a body once it had been read; what was being read counted nothing, and a chunked body was compared as none. Each body was copied for each attempt besides.

Memory is reserved as a body grows, over all connections. If there is no room, the oldest body that has been read for a second makes way for a longer one, and the largest one for the first 16 KiB of another, for which an eighth of the memory is kept; otherwise the new request is refused. All get 503 with Retry-After and a closed connection, and have not run. Bodies over 16 KiB are sent without a copy. The default of 48 MiB stays; requests within the users' limits meet it only together, as before. relay.bodies.bytes, .refused and .evicted count; rejected requests are logged at the level whose lines are bounded.

--- a/io/relayd/daemon.go
+++ b/io/relayd/daemon.go
@@ -19,6 +19,7 @@
 	"chervilreach/core/poison"
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
+	"chervilreach/io/bodies"
 	"chervilreach/io/conns"
 	"chervilreach/io/guard"
 	"chervilreach/io/loop"
@@ -44,9 +45,8 @@
 	Routes RoutesFeed
 	// Versions keeps the versions of the endpoints' software; nil keeps none.
 	Versions VersionsStore
-	// MaxTotalBodyBytes bounds the total size of the bodies of all requests in progress. A
-	// body counts once it has been read, so that requests which arrive together can exceed
-	// the bound.
+	// MaxTotalBodyBytes bounds the memory for the bodies of all requests in progress, also of those that are
+	// being read.
 	MaxTotalBodyBytes int64
 }
 
@@ -83,8 +83,8 @@
 	agents         *agentConns
 	meters         meters
 	guard          guard.Guard
-	// bodyBytes is the total size of the bodies of the requests in progress.
-	bodyBytes atomic.Int64
+	// bodies is the memory for the bodies of the requests in progress.
+	bodies *bodies.Budget
 
 	mu     sync.Mutex
 	lastID relay.RequestID
@@ -109,6 +109,8 @@
 	if opts.HeaderCodec != nil {
 		d.guard.IDHeader = opts.HeaderCodec.IDHeader()
 	}
+	d.bodies = bodies.New(opts.MaxTotalBodyBytes, func() { d.meters.bodiesEvicted.Inc(1) })
+	metrics.NewRegisteredFunctionalGauge(metricBodyBytes, d.meters.registry, d.bodies.Used)
 	d.attemptsCtx, d.cancelAttempts = context.WithCancel(context.Background())
 	d.loop = loop.New(relay.New(opts.Settings), opts.Recorder)
 	d.agents = newAgentConns(d)
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -16,6 +16,7 @@
 
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
+	"chervilreach/io/bodies"
 	"chervilreach/io/conns"
 	"chervilreach/io/guard"
 )
@@ -34,6 +35,8 @@
 	// is given up. Fewer are skipped. maxForeignBytes bounds the body of a skipped answer.
 	maxForeignAnswers = 3
 	maxForeignBytes   = 1 << 20
+	// maxInlineBody is the longest body that is sent in one write with the head.
+	maxInlineBody = 16 << 10
 	// discardTimeout bounds the time for the body of an answer that is not forwarded. The request
 	// waits meanwhile, and a new connection takes less.
 	discardTimeout = 50 * time.Millisecond
@@ -61,10 +64,11 @@
 	w  http.ResponseWriter
 	rc *http.ResponseController
 	r  *http.Request
-	// body is the complete body of the request.
-	body    []byte
-	route   *route.Route
-	request relay.Request
+	// body is the complete body of the request, reserved the memory for it.
+	body     []byte
+	reserved *bodies.Body
+	route    *route.Route
+	request  relay.Request
 	// commands queues the effects of the reducer that concern the request.
 	commands  chan any
 	arrivedAt time.Time
@@ -263,13 +267,19 @@
 // roundTrip sends the request on a connection and forwards the answer. It returns how long
 // the connection may be kept; zero means not at all.
 func (x *exchange) roundTrip(c *conns.Conn, send relay.Send, ended *relay.AttemptEnded) (conns.IdleTimeout, error) {
-	if n, err := c.Write(x.encodeRequest(send)); err != nil {
+	begin, rest := x.encodeRequest(send)
+	if n, err := c.Write(begin); err != nil {
 		if n > 0 {
 			ended.Result = relay.Broken
 		}
 		return conns.IdleTimeout{}, fmt.Errorf("send request: %w", err)
 	}
 	ended.Result = relay.Broken
+	if len(rest) > 0 {
+		if _, err := c.Write(rest); err != nil {
+			return conns.IdleTimeout{}, fmt.Errorf("send body: %w", err)
+		}
+	}
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return conns.IdleTimeout{}, fmt.Errorf("end the deadline for the last answer: %w", err)
 	}
@@ -338,14 +348,19 @@
 	x.d.loop.Post(relay.LimitObserved{ID: x.id, Try: send.Try, Limit: info.Limit})
 }
 
-// encodeRequest returns the HTTP request to the endpoint as bytes.
-func (x *exchange) encodeRequest(send relay.Send) []byte {
+// encodeRequest returns the beginning of the HTTP request to the endpoint, and the body if it is not part of it: longer
+// ones are not copied for each attempt.
+func (x *exchange) encodeRequest(send relay.Send) (begin, rest []byte) {
 	h := x.r.Header.Clone()
 	conns.StripHopByHop(h)
 	h.Del("Content-Length")
 	x.d.opts.HeaderCodec.SetAttemptHeaders(h, send, time.Until(send.Deadline))
+	inline, rest := x.body, []byte(nil)
+	if len(x.body) > maxInlineBody {
+		inline, rest = nil, x.body
+	}
 	var b bytes.Buffer
-	b.Grow(len(x.body) + 1024)
+	b.Grow(len(inline) + 1024)
 	b.WriteString(x.r.Method + " " + x.r.RequestURI + " HTTP/1.1\r\nHost: " + x.r.Host + "\r\n")
 	if len(x.body) > 0 || x.r.ContentLength != 0 || x.r.Method == http.MethodPost {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(x.body)) + "\r\n")
@@ -353,8 +368,8 @@
 	// Writes to a buffer do not fail.
 	_ = h.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(x.body)
-	return b.Bytes()
+	b.Write(inline)
+	return b.Bytes(), rest
 }
 
 // readHead reads the status and header of the answer to this request. It skips answers to
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/core/stock"
+	"chervilreach/io/bodies"
 	"chervilreach/io/guard"
 )
 
@@ -127,7 +127,7 @@
 		d.reject(w, r, err)
 		return
 	}
-	defer d.bodyBytes.Add(-int64(len(x.body)))
+	defer x.reserved.Release()
 	x.run(r.Context())
 }
 
@@ -141,7 +141,8 @@
 
 // reject answers a request that could not be read with an error.
 func (d *Daemon) reject(w http.ResponseWriter, r *http.Request, err error) {
-	d.log.Warn().Err(err).Str("path", r.URL.Path).Msg("request rejected")
+	// Lines of this level are left out if there are many.
+	d.log.Info().Err(err).Str("path", r.URL.Path).Msg("request rejected")
 	guard.End(w, guard.Rejected)
 	switch {
 	case errors.Is(err, ErrTooLarge):
@@ -149,6 +150,9 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.Is(err, ErrOverloaded):
 		guard.End(w, guard.Refused)
+		d.meters.bodiesRefused.Inc(1)
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
 		refuse(w, http.StatusServiceUnavailable, time.Second, err.Error())
 	case errors.Is(err, ErrStopping):
 		guard.End(w, guard.Refused)
@@ -172,14 +176,15 @@
 	if !info.Deadline.IsZero() && info.Deadline.Before(deadline) {
 		deadline = info.Deadline
 	}
-	body, err := d.readBody(w, r, table)
+	reserved, err := d.readBody(w, r, table)
 	if err != nil {
 		return nil, err
 	}
+	body := reserved.Bytes()
 	service := rt.PickService(info.AttemptID)
 	whole := wholeRequest(service, info, r, body)
 	x := &exchange{
-		d: d, w: w, rc: http.NewResponseController(w), r: r, body: body, route: rt,
+		d: d, w: w, rc: http.NewResponseController(w), r: r, body: body, reserved: reserved, route: rt,
 		commands:    make(chan any, commandQueueSize),
 		lastEventID: info.LastEventID, resumes: info.Resumes, resuming: info.Resuming,
 		request: relay.Request{
@@ -203,40 +208,34 @@
 	return poison.RequestPart(service, fields, body)
 }
 
-// readBody reads the complete body and adds its size to d.bodyBytes. The caller must subtract
-// it when the request has ended.
-func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request, table *route.Table) ([]byte, error) {
+// readBody reads the complete body, nil if there is none. The caller must release it when the request has ended.
+func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request, table *route.Table) (*bodies.Body, error) {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, nil //nolint:nilnil // A request without a body has none.
 	}
 	limit := int64(defaultMaxBodyBytes)
 	if table.Limits.MaxBody > 0 {
 		limit = int64(table.Limits.MaxBody)
 	}
-	if r.ContentLength > limit {
-		return nil, fmt.Errorf("body of %d bytes, at most %d: %w", r.ContentLength, limit, ErrTooLarge)
-	}
-	if d.bodyBytes.Load()+max(r.ContentLength, 0) > d.opts.MaxTotalBodyBytes {
-		return nil, ErrOverloaded
-	}
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
 		return nil, fmt.Errorf("bound body: %w", err)
 	}
-	body, err := d.readUntilStop(rc, io.LimitReader(r.Body, limit+1))
-	if errors.Is(err, ErrStopping) {
+	body, err := d.readUntilStop(rc, r, limit)
+	switch {
+	case errors.Is(err, ErrStopping):
 		return nil, fmt.Errorf("read body: %w", err)
-	}
-	if err != nil {
+	case errors.Is(err, bodies.ErrTooLong):
+		return nil, fmt.Errorf("%w: %w", ErrTooLarge, err)
+	case errors.Is(err, bodies.ErrNoRoom):
+		return nil, fmt.Errorf("%w: %w", ErrOverloaded, err)
+	case err != nil:
 		return nil, fmt.Errorf("read body: %w: %w", ErrBadRequest, err)
 	}
-	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("body of more than %d bytes: %w", limit, ErrTooLarge)
-	}
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		body.Release()
 		return nil, fmt.Errorf("unbound body: %w", err)
 	}
-	d.bodyBytes.Add(int64(len(body)))
 	return body, nil
 }
 
@@ -244,18 +243,19 @@
 // wraps ErrStopping, and the connection can't be read any more. That includes a body whose end has
 // just been read: net/http then waits for the connection's end with the same deadline, and cancels
 // the request when it passes.
-func (d *Daemon) readUntilStop(rc *http.ResponseController, body io.Reader) ([]byte, error) {
+func (d *Daemon) readUntilStop(rc *http.ResponseController, r *http.Request, limit int64) (*bodies.Body, error) {
 	ended := make(chan struct{})
 	stop := context.AfterFunc(d.attemptsCtx, func() {
 		defer close(ended)
 		d.endBodyRead(rc)
 	})
-	data, err := io.ReadAll(body)
+	body, err := d.bodies.Read(r.Body, r.ContentLength, limit, func() { d.endBodyRead(rc) })
 	if !stop() {
 		<-ended
+		body.Release()
 		return nil, ErrStopping
 	}
-	return data, err
+	return body, err
 }
 
 // endBodyRead ends the read of a body in progress.
--- a/io/relayd/meters.go
+++ b/io/relayd/meters.go
@@ -19,6 +19,9 @@
 	metricLimitChanges   = "relay.limit-changes"
 	metricConvictions    = "relay.convictions-in-force"
 	metricBackoffs       = "relay.backoffs"
+	metricBodiesRefused  = "relay.bodies.refused"
+	metricBodiesEvicted  = "relay.bodies.evicted"
+	metricBodyBytes      = "relay.bodies.bytes"
 	metricRoutesTime     = "relay.routes-adoption-time"
 	metricLeavingTime    = "relay.leaving-adoption-time"
 )
@@ -33,6 +36,9 @@
 	inFlight metrics.Gauge
 	// backoffs counts the backoffs that endpoints have requested.
 	backoffs metrics.Counter
+	// bodiesRefused counts the requests whose bodies found no room, bodiesEvicted those of them that had to
+	// make way for others.
+	bodiesRefused, bodiesEvicted metrics.Counter
 	// routesTime and leavingTime measure new routes, and the leaving of endpoints, from when they
 	// were read until they are in force.
 	routesTime, leavingTime metrics.Timer
@@ -49,6 +55,8 @@
 		firstEventTime: metrics.GetOrRegisterTimer(metricFirstEventTime, registry),
 		inFlight:       metrics.GetOrRegisterGauge(metricInFlight, registry),
 		backoffs:       metrics.GetOrRegisterCounter(metricBackoffs, registry),
+		bodiesRefused:  metrics.GetOrRegisterCounter(metricBodiesRefused, registry),
+		bodiesEvicted:  metrics.GetOrRegisterCounter(metricBodiesEvicted, registry),
 		routesTime:     metrics.GetOrRegisterTimer(metricRoutesTime, registry),
 		leavingTime:    metrics.GetOrRegisterTimer(metricLeavingTime, registry),
 	}
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -43,6 +43,10 @@
 		_, err := c.Write(append(lengthHead(crowdBodyBytes), make([]byte, crowdBodyBytes-1)...))
 		return err
 	},
+	"whole bodies of legal size": func(c net.Conn) error {
+		_, err := c.Write(append(lengthHead(crowdBodyBytes), make([]byte, crowdBodyBytes)...))
+		return err
+	},
 	"bodies of legal size in pieces": func(c net.Conn) error {
 		return writeAll(c, lengthHead(crowdBodyBytes), make([]byte, 4096), crowdBodyBytes/4096-1)
 	},
@@ -115,7 +119,9 @@
 			assert.Equal(t, http.StatusOK, ordinaryCall(t, router, "beside"))
 			// The router goes on reading what the kernel holds.
 			time.Sleep(crowdStay)
-			assert.LessOrEqual(t, procStatus(t, router, "VmHWM"), maxRouterMemory, "kB of memory at the peak")
+			peak := procStatus(t, router, "VmHWM")
+			t.Logf("%d kB of memory at the peak, %d open descriptors", peak, openFiles(t, router))
+			assert.LessOrEqual(t, peak, maxRouterMemory, "kB of memory at the peak")
 			assert.LessOrEqual(t, openFiles(t, router), maxRouterFiles, "open descriptors")
 			for _, c := range clients {
 				_ = c.Close()
