soak: crowds of clients with heads without end; a test that is red

300 clients send heads of 1 MiB without an end and stay connected; the bounds are those of the crowds of bodies. A router takes 522 MB at its peak with lines of 4 KiB and 2,847 MB with lines of a few bytes, 184 MB are allowed.

--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -64,6 +64,23 @@
 	},
 }
 
+// headForms are heads without end, of a MiB, that the clients of a crowd send.
+var headForms = map[string]func(c net.Conn) error{
+	"heads of long lines": func(c net.Conn) error {
+		return writeAll(c, openHead(), fmt.Appendf(nil, "X-Filler: %s\r\n", bytes.Repeat([]byte("x"), 4096)), 256)
+	},
+	"heads of short lines": func(c net.Conn) error {
+		var lines []byte
+		for n := range 128 << 10 {
+			lines = fmt.Appendf(lines, "a%d:\r\n", n)
+		}
+		return writeAll(c, openHead(), lines, 1)
+	},
+}
+
+// openHead returns the beginning of a head.
+func openHead() []byte { return bytes.TrimSuffix(lengthHead(2), []byte("\r\n")) }
+
 func lengthHead(length int) []byte { return crowdHead(fmt.Sprintf("Content-Length: %d", length)) }
 
 func chunkedHead() []byte { return crowdHead("Transfer-Encoding: chunked") }
@@ -94,14 +111,22 @@
 }
 
 // Guards against clients whose bodies fill the memory of a router (incident of 2026-12-06).
-func TestCrowdOfBodiesLeavesRouterAlive(t *testing.T) {
+func TestCrowdOfBodiesLeavesRouterAlive(t *testing.T) { testCrowds(t, 31_000, crowdForms) }
+
+// Guards against clients whose heads fill the memory of a router.
+func TestCrowdOfHeadsLeavesRouterAlive(t *testing.T) { testCrowds(t, 31_020, headForms) }
+
+// testCrowds checks for each form that a router lives beside a crowd, stays within its bounds and serves others. Fleets
+// have the networks from the given one on.
+func testCrowds(t *testing.T, network int, forms map[string]func(c net.Conn) error) {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("runs processes for some seconds")
 	}
 	bin := build(t)
-	for i, name := range slices.Sorted(maps.Keys(crowdForms)) {
+	for i, name := range slices.Sorted(maps.Keys(forms)) {
 		t.Run(name, func(t *testing.T) {
-			f, err := newFleet(t.Context(), bin, t.TempDir(), 31_000+i, fleetSize{routerCount: 1, modelReplicaCount: 1, plainReplicaCount: 2, callerSettings: crowdSettings})
+			f, err := newFleet(t.Context(), bin, t.TempDir(), network+i, fleetSize{routerCount: 1, modelReplicaCount: 1, plainReplicaCount: 2, callerSettings: crowdSettings})
 			if f != nil {
 				defer func() { assert.NoError(t, f.stop()) }()
 			}
@@ -110,7 +135,7 @@
 			require.Eventually(t, func() bool { return isReady(t.Context(), router) }, 20*time.Second, 50*time.Millisecond)
 			require.Equal(t, http.StatusOK, ordinaryCall(t, router, "before"))
 
-			clients := sendCrowd(router, crowdForms[name])
+			clients := sendCrowd(router, forms[name])
 			defer func() {
 				for _, c := range clients {
 					_ = c.Close()
