io/node: heads of callers are bounded to what the users' limits allow

300 clients with heads of 1 MiB without end took 522 MB of a router's memory, 2,847 MB with lines of a few bytes: net/http reads 1 MiB of a head by default, and each line is a map entry, a name and a slice. callers.max-head, 16 KiB by default, is net/http's bound now, to which it adds 4 KiB; the users' limit for heads is 16 KiB, and one of 16,000 bytes is served (in the test). Open there: heads and connections over all clients, and the older kind of router.

--- a/config/platform.go
+++ b/config/platform.go
@@ -84,6 +84,8 @@
 	// balancer.
 	Listen netip.AddrPort `json:"listen" need:"router"`
 	Ready  netip.AddrPort `json:"ready" need:"router"`
+	// MaxHead bounds the head of a request.
+	MaxHead fleet.Bytes `json:"max-head" default:"16KiB"`
 	// MaxTotalBody bounds the total size of the bodies of all requests in progress.
 	MaxTotalBody fleet.Bytes `json:"max-bodies" default:"48MiB"`
 }
--- a/io/node/relay.go
+++ b/io/node/relay.go
@@ -146,7 +146,7 @@
 	})
 	errorLog := logs.ErrorLog(log.Logger)
 	r.callerServer = drain.New(&http.Server{
-		Handler: r.daemon, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: r.daemon, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: int(cfg.Callers.MaxHead),
 		ConnContext: relayd.WithConn, ErrorLog: errorLog,
 	})
 	r.readinessServer = &http.Server{Handler: http.HandlerFunc(r.handleReadiness), ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: errorLog}
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -28,6 +28,8 @@
 	crowdBodyBytes = 1 << 20
 	// crowdStay is how long the crowd stays connected, which is less than a router waits for the end of a body.
 	crowdStay = 3 * time.Second
+	// longHeadBytes is close to the longest head that the configuration of package mock allows.
+	longHeadBytes = 16_000
 	// crowdSettings lower the limit for all bodies together.
 	crowdSettings = `, "max-bodies": "4MiB"`
 	// maxRouterMemory is the memory of the smallest host of the users' platform that serves callers, in kB.
@@ -134,6 +136,7 @@
 			router := f.routers[0]
 			require.Eventually(t, func() bool { return isReady(t.Context(), router) }, 20*time.Second, 50*time.Millisecond)
 			require.Equal(t, http.StatusOK, ordinaryCall(t, router, "before"))
+			require.Equal(t, http.StatusOK, ordinaryCall(t, router, "long-head", "X-Filler: "+strings.Repeat("x", longHeadBytes)))
 
 			clients := sendCrowd(router, forms[name])
 			defer func() {
@@ -186,13 +189,16 @@
 	return conns
 }
 
-// ordinaryCall sends a request with a short body on a new connection and returns the status of the answer.
-func ordinaryCall(t *testing.T, router *process, id string) int {
+// ordinaryCall sends a request with a short body and further header lines on a new connection, and returns the status of
+// the answer.
+func ordinaryCall(t *testing.T, router *process, id string, headers ...string) int {
 	t.Helper()
 	c := dialCaller(router)
 	require.NotNil(t, c, "could not connect")
 	defer c.close()
-	return c.call(id, [2]string{mock.SafePath}, prompt{}).status
+	o := outcome{attemptID: id, path: mock.SafePath, router: router.name, connectedAt: c.connectedAt, sentAt: time.Now()}
+	c.finish(&o, "", prompt{}, headers...)
+	return o.status
 }
 
 // procStatus returns a field of the kernel's status of a process that the test has started.
