io/conns, io/engine: an answer whose status is none is a broken answer

An endpoint in trouble that answers with status 000 left its request without an answer until the deadline (504 after 2 s): each status below 200 but 101 was taken for an interim answer and skipped, 001, 099 and +20 too. 101, which nothing asks for, 600 and 999 were passed on to the caller as answers. Engines of the older kind could end a call with such a status as a success.

Final statuses are 200 to 599 now, and interim ones 100 to 199 but 101; all others break the attempt: what may run again goes to another endpoint, the rest gets 502 at once. The store, etcd, host list and agents' calls accept only the few statuses that they name, by reading.

--- a/io/conns/pool.go
+++ b/io/conns/pool.go
@@ -28,6 +28,8 @@
 	ErrStale = errors.New("pooled connection closed by the endpoint")
 	// ErrHeadTooLong reports that the head of an answer exceeds MaxHeadBytes or maxHeadLines.
 	ErrHeadTooLong = errors.New("head of the answer too long")
+	// ErrBadStatus reports that the status of an answer is none of HTTP, or 101, which nothing asks for.
+	ErrBadStatus = errors.New("answer with an invalid status")
 )
 
 const (
@@ -340,9 +342,16 @@
 	}
 }
 
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
+// IsFinalStatus reports whether a status is one of a final answer.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // Read reads the status and header of the answer to a request with the given method;
-// the body is left unread. It skips interim answers (1xx) other than 101. The error wraps
-// ErrHeadTooLong if there is no end of the head or of the interim answers. It has this name to
+// the body is left unread. It skips interim answers (1xx). The error wraps
+// ErrHeadTooLong if there is no end of the head or of the interim answers, and ErrBadStatus if the status is
+// invalid. It has this name to
 // hide the Read of the embedded net.Conn, which would bypass the buffer.
 func (c *Conn) Read(method string) (*http.Response, error) {
 	c.limit.start()
@@ -356,8 +365,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case IsFinalStatus(resp.StatusCode):
 			return resp, nil
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("read answer of %s: status %d: %w", c.addr, resp.StatusCode, ErrBadStatus)
 		}
 	}
 	return nil, fmt.Errorf("read answer of %s: more than %d interim answers: %w", c.addr, maxInterimAnswers, ErrHeadTooLong)
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -294,6 +294,10 @@
 		c.pooled.CloseIdleConnections()
 		return nil, connected.Load(), unexpectedEOF(err)
 	}
+	if !conns.IsFinalStatus(resp.StatusCode) {
+		closeBody(resp)
+		return nil, true, fmt.Errorf("status %d: %w", resp.StatusCode, conns.ErrBadStatus)
+	}
 	if id := resp.Header.Get(HeaderRequestID); id != "" && msg.id != "" && id != string(msg.id) {
 		closeBody(resp)
 		return nil, true, fmt.Errorf("%w: got that of %s", ErrWrongResponse, id)
