--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -39,7 +39,7 @@
 	case Unsent:
 		e.recordOutcome(true, s.now)
 		e.ejectedUntil = s.now.Add(unreachableDuration)
-		if ev.Refused && !e.refusedLive() {
+		if ev.Refused && !e.reportedUpSinceLoss() {
 			s.endIncarnation(e, foundByRefusal)
 		}
 		s.retryOrRefuse(r, e)
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -106,11 +106,9 @@
 	// askAgainAt is the time until which the endpoint's agent is not asked for permits, as it
 	// did not answer.
 	askAgainAt time.Time
-	// lostAttempts are the attempts that the endpoint's crash may have ended, end is what is known of its end,
-	// crashes the number of reports of its crash.
+	// lostAttempts are the attempts that the endpoint's crash may have ended, end is what is known of its end.
 	lostAttempts []lostAttempt
 	end          incarnationEnd
-	crashes      int
 	// checkingPort reports whether the answer to CheckPort is awaited.
 	checkingPort bool
 	// toldCrashCount is the number of the router's crashes (poisonState.crashCount) when the agent
--- a/core/relay/lost.go
+++ b/core/relay/lost.go
@@ -41,6 +41,8 @@
 type incarnationEnd struct {
 	source crashSource
 	until  time.Time
+	// counted reports whether a crash has been counted.
+	counted bool
 }
 
 // crashSource is how the end of an incarnation is known, for the log.
@@ -147,7 +149,7 @@
 
 // endIncarnation notes that the endpoint's incarnation has ended, and reports the crash if attempts were lost there.
 func (s *State) endIncarnation(e *endpoint, source crashSource) {
-	e.end = incarnationEnd{source: source, until: s.now.Add(crashConfirmTime)}
+	e.end.source, e.end.until = source, s.now.Add(crashConfirmTime)
 	if source == foundByRemoval {
 		e.end.until = s.now.Add(removalGrace)
 	}
@@ -185,9 +187,9 @@
 	s.endIncarnation(e, foundByPort)
 }
 
-// refusedLive reports whether the endpoint's agent has reported it as up since the last attempt was lost, so
+// reportedUpSinceLoss reports whether the endpoint's agent has reported it as up since the last attempt was lost, so
 // that a refused connection is no word of its end.
-func (e *endpoint) refusedLive() bool {
+func (e *endpoint) reportedUpSinceLoss() bool {
 	if len(e.lostAttempts) == 0 {
 		return false
 	}
@@ -206,7 +208,8 @@
 	}
 	suspects := mergeSuspects(lo.FlatMap(lost, func(a lostAttempt, _ int) []poison.Suspect { return a.suspects }))
 	c := poison.Crash{Instance: e.Instance, At: lost[0].lostAt, Suspects: suspects}
-	if e.crashes++; e.crashes == 1 {
+	if !e.end.counted {
+		e.end.counted = true
 		s.emitCount("crashes")
 	}
 	s.emit(EndpointCrashed{Endpoint: e.Instance, Lost: len(lost), LostAt: c.At, Suspects: c.Suspects, Source: e.end.source})
--- a/core/relay/lost_test.go
+++ b/core/relay/lost_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"chervilreach/core/event"
 	"chervilreach/core/stock"
 )
 
@@ -135,3 +137,24 @@
 		})
 	}
 }
+
+// Guards against an endpoint that starts again under its name, and whose later crash is taken for the one before.
+func TestInstanceThatCrashesAgainCountsTwice(t *testing.T) {
+	entry := entryAt("e1", 1)
+	entry.Born = 1
+	router := newTestRouter(t, entry, entryAt("e2", 2))
+	router.report("e2", withModels("b"))
+	for n := range 2 {
+		router.report("e1", withModels("a"))
+		id := router.arriveWithPrompt("shared", "deadly", "own")
+		router.loseAttempt(id)
+		router.reportDown("e1")
+		assert.Equal(t, 1, lo.CountBy(effectsOf[event.Count](router), func(c event.Count) bool { return c.Name == "relay.crashes" }), "crash %d", n)
+		router.now = router.now.Add(crashConfirmTime + time.Second)
+		entry.Born++
+		router.listEndpoints(entry, entryAt("e2", 2))
+	}
+	crashes := router.state.poison.crashes
+	require.Len(t, crashes, 2)
+	assert.Equal(t, crashConfirmTime+time.Second, crashes[1].crash.At.Sub(crashes[0].crash.At))
+}
--- a/core/relay/poison.go
+++ b/core/relay/poison.go
@@ -151,9 +151,12 @@
 	return list
 }
 
-// addRecentCrash adds a crash to those that are reported to judges. What was reported of it before is replaced.
+// addRecentCrash adds a crash to those that are reported to judges. What was reported of it before is replaced. An
+// instance may crash again later, as another incarnation.
 func (s *State) addRecentCrash(service string, c poison.Crash) {
-	known := slices.IndexFunc(s.poison.crashes, func(o recentCrash) bool { return o.service == service && o.crash.Instance == c.Instance })
+	known := slices.IndexFunc(s.poison.crashes, func(o recentCrash) bool {
+		return o.service == service && o.crash.Instance == c.Instance && c.At.Sub(o.crash.At) <= crashConfirmTime
+	})
 	if known >= 0 {
 		before := s.poison.crashes[known].crash
 		c.At, c.Suspects = before.At, mergeSuspects(append(slices.Clone(before.Suspects), c.Suspects...))
