--- /dev/null
+++ b/review/harness-2/client.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// outcome is what a client saw of one request.
+type outcome struct {
+	id             string
+	sent, ended    time.Time
+	status         int
+	seal, body     string
+	retryAfter     string
+	err            error
+	connectionGone bool
+}
+
+// client is a connection of a client to a router.
+type client struct {
+	addr string
+	conn net.Conn
+	br   *bufio.Reader
+}
+
+// request is what a client sends.
+type request struct {
+	method, path, id, body string
+	deadline               time.Duration
+	headers                []string
+}
+
+func (q request) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: calls.example\r\nX-Chervilreach-Attempt-Id: %s\r\nX-Chervilreach-Deadline-Ms: %d\r\n",
+		q.method, q.path, q.id, q.deadline.Milliseconds())
+	for _, h := range q.headers {
+		b.WriteString(h + "\r\n")
+	}
+	if q.method == http.MethodPost {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
+	}
+	b.WriteString("\r\n" + q.body)
+	return b.String()
+}
+
+// do sends a request on the connection, which it opens if there is none, and reads the answer.
+func (c *client) do(q request) outcome {
+	o := outcome{id: q.id, sent: time.Now()}
+	defer func() {
+		if o.connectionGone {
+			c.close()
+		}
+	}()
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.addr, time.Second)
+		if err != nil {
+			o.ended, o.err, o.connectionGone = time.Now(), err, true
+			return o
+		}
+		c.conn, c.br = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(q.deadline))
+	_, err := io.WriteString(c.conn, q.text())
+	var resp *http.Response
+	if err == nil {
+		resp, err = http.ReadResponse(c.br, &http.Request{Method: q.method})
+	}
+	if err == nil {
+		o.status, o.seal, o.retryAfter = resp.StatusCode, resp.Header.Get("X-Chervilreach-Response-Seal"), resp.Header.Get("Retry-After")
+		var data []byte
+		data, err = io.ReadAll(resp.Body)
+		o.body = string(data)
+		o.connectionGone = resp.Close
+	}
+	o.ended, o.err = time.Now(), err
+	o.connectionGone = o.connectionGone || err != nil
+	return o
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// timedOut reports whether the client gave up at its deadline.
+func (o outcome) timedOut() bool {
+	var ne net.Error
+	return errors.As(o.err, &ne) && ne.Timeout()
+}
