--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -31,6 +31,9 @@
 	procs    []*proc
 	replicas []*replica
 	rec      *record
+	// agentLinks makes the machines beside the replicas reach the store through links, which can be cut.
+	agentLinks bool
+	links      []*proxy
 }
 
 // proc is a process of the system.
@@ -89,18 +92,28 @@
 	if r.models == nil {
 		return nil
 	}
-	_, err := f.addProc("swap", ip, fmt.Sprintf(`"endpoint": {"address": %q, "service": %q}`, r.addr, r.service))
+	store := f.storeAddr()
+	if f.agentLinks {
+		at := fmt.Sprintf("%s:%d", ip, portStore)
+		l, err := newProxy(at, store)
+		if err != nil {
+			return err
+		}
+		f.links = append(f.links, l)
+		store = at
+	}
+	_, err := f.addProc("swap", ip, store, fmt.Sprintf(`"endpoint": {"address": %q, "service": %q}`, r.addr, r.service))
 	return err
 }
 
 // addRouter starts a router on a new host.
 func (f *fleet) addRouter() (*proc, error) {
 	ip := f.host()
-	return f.addProc("relay", ip, fmt.Sprintf(`"callers": {"listen": "%s:%d", "ready": "%s:%d"}`, ip, portFront, ip, portReady))
+	return f.addProc("relay", ip, f.storeAddr(), fmt.Sprintf(`"callers": {"listen": "%s:%d", "ready": "%s:%d"}`, ip, portFront, ip, portReady))
 }
 
 // addProc starts a process with settings as deploy/settings.jsonc gives them for the small sites.
-func (f *fleet) addProc(role, ip, section string) (*proc, error) {
+func (f *fleet) addProc(role, ip, store, section string) (*proc, error) {
 	name := fmt.Sprintf("%s-%d", role, f.hosts)
 	p := &proc{name: name, role: role, ip: ip, settings: filepath.Join(f.dir, name+".jsonc")}
 	memory := 284
@@ -110,7 +123,7 @@
 	text := fmt.Sprintf(`{"process": {"host": %q, "failure-domain": "zone-%d", "wire": "%s:%d", "admin": "%s:%d", "drain-timeout": "8s", "memory": "%dMiB"},
 "store": {"address": %q, "max-age": "2000ms", "heartbeat": "1200ms"},
 %s,
-"retries": {"ratio": "0.2", "extra": "58", "window": "10s"}}`, name, len(f.procs)%3, ip, portWire, ip, portAdmin, memory, f.storeAddr(), section)
+"retries": {"ratio": "0.2", "extra": "58", "window": "10s"}}`, name, len(f.procs)%3, ip, portWire, ip, portAdmin, memory, store, section)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -189,6 +202,9 @@
 	for _, r := range f.replicas {
 		r.stop()
 	}
+	for _, l := range f.links {
+		l.close()
+	}
 	f.store.close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
