--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Build the system and review/build-2.sh first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/chervilreach ] && [ -x target/review-2 ] || exit 2
-exec target/review-2 config review/9/record.txt
+exec target/review-2 refused review/9/record.txt
