--- a/review/harness-2/case_route.go
+++ b/review/harness-2/case_route.go
@@ -98,7 +98,8 @@
 		time.Sleep(2 * time.Second)
 		c := &client{addr: p.front()}
 		o := c.do(request{method: http.MethodPost, path: "/draft/x", id: fmt.Sprintf("d%d", n), body: "{}", deadline: 4 * time.Second, headers: []string{
-			"X-Chervilreach-Model: m0", "X-Chervilreach-Token-Count: 200,120", "X-Chervilreach-Prompt-Prefix: p:200"}})
+			"X-Chervilreach-Model: m0", "X-Chervilreach-Token-Count: 200,120", "X-Chervilreach-Prompt-Prefix: p:200",
+		}})
 		c.close()
 		f.rec.note("client: stream d%d for a model of %s, 2 s after its own entry is back, status %d, %d bytes", n, model.instance, o.status, len(o.body))
 	}
--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -2,15 +2,18 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
+// served counts the requests of all clients that were answered with 200.
+var served atomic.Int64
+
 // outcome is what a client saw of one request.
 type outcome struct {
 	id             string
@@ -78,6 +81,9 @@
 		data, err = io.ReadAll(resp.Body)
 		o.body = string(data)
 		o.connectionGone = resp.Close
+		if err == nil && o.status == http.StatusOK {
+			served.Add(1)
+		}
 	}
 	o.ended, o.err = time.Now(), err
 	o.connectionGone = o.connectionGone || err != nil
@@ -90,9 +96,3 @@
 		c.conn = nil
 	}
 }
-
-// timedOut reports whether the client gave up at its deadline.
-func (o outcome) timedOut() bool {
-	var ne net.Error
-	return errors.As(o.err, &ne) && ne.Timeout()
-}
--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -191,6 +191,18 @@
 	return strings.Contains(string(buf[:n]), " 200 ")
 }
 
+// ended returns the name of a process that has ended and has not been started again; empty if there is none.
+func (f *fleet) ended() string {
+	for _, p := range f.procs {
+		select {
+		case <-p.exited:
+			return p.name
+		default:
+		}
+	}
+	return ""
+}
+
 // stop ends all processes that the fleet has started.
 func (f *fleet) stop() {
 	for _, p := range f.procs {
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -47,6 +47,12 @@
 	case err != nil:
 		rec.note("could not run: %v", err)
 		return exitNotRun
+	case f.ended() != "":
+		rec.note("could not run: %s ended by itself", f.ended())
+		return exitNotRun
+	case served.Load() == 0:
+		rec.note("could not run: nothing was served")
+		return exitNotRun
 	case broken > 0:
 		rec.note("the rule was broken %d times", broken)
 		return exitBroken
