--- a/review/harness-2/case_resume.go
+++ b/review/harness-2/case_resume.go
@@ -16,6 +16,8 @@
 	eventTime    = 50 * time.Millisecond
 	// spoiledOf: one answer in so many of the faulty replica is spoiled, which is a share of 0.05.
 	spoiledOf = 20
+	// spoilFor is how long the replica is faulty at a time, and how long it is sound between.
+	spoilFor = 5 * time.Second
 	// workLimit is how long a replica may go on with a request that goes on at another one.
 	workLimit = 400 * time.Millisecond
 )
@@ -25,14 +27,17 @@
 func caseResume(f *fleet, trouble bool) (int, error) {
 	var mu sync.Mutex
 	answers := 0
+	var start time.Time // of the requests
 	for i := range 2 {
 		faulty := i == 0
 		r := &replica{service: "llm", models: []string{"m0"}, slots: 64, serve: func(r *replica, c *call) bool {
 			spoil := false
 			if faulty && trouble {
 				mu.Lock()
-				answers++
-				spoil = answers%spoiledOf == 0
+				if time.Since(start)%(2*spoilFor) < spoilFor {
+					answers++
+					spoil = answers%spoiledOf == 0
+				}
 				mu.Unlock()
 			}
 			return serveStream(r, c, spoil)
@@ -53,6 +58,9 @@
 	if err := f.awaitReady(); err != nil {
 		return 0, err
 	}
+	mu.Lock()
+	start = time.Now()
+	mu.Unlock()
 	var wg sync.WaitGroup
 	for i := range 300 {
 		wg.Add(1)
