--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -206,6 +206,9 @@
 // stop ends all processes that the fleet has started.
 func (f *fleet) stop() {
 	for _, p := range f.procs {
+		if p.exited == nil { // it did not start
+			continue
+		}
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.exited
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +42,14 @@
 		return exitNotRun
 	}
 	defer f.stop()
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-ends
+		rec.note("could not run to its end: a signal")
+		f.stop()
+		os.Exit(exitNotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.note("case %s, disruption %v", name, trouble)
 	broken, err := cases[name](f, trouble)
