--- a/review/harness-2/case_route.go
+++ b/review/harness-2/case_route.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -55,13 +54,7 @@
 	for n := range rounds {
 		p := routers[n%2]
 		f.rec.note("%s gets SIGTERM", p.name)
-		p.signal(syscall.SIGTERM)
-		select {
-		case <-p.exited:
-		case <-time.After(8 * time.Second):
-			p.signal(syscall.SIGKILL)
-			<-p.exited
-		}
+		p.terminate()
 		model.writeEntry()
 		if trouble {
 			// Of the fields of an entry, born, stage, models and atHand are missing.
@@ -74,10 +67,8 @@
 		if err := p.start(f.bin); err != nil {
 			return 0, err
 		}
-		for deadline := time.Now().Add(5 * time.Second); !ready(fmt.Sprintf("%s:%d", p.ip, portReady)); time.Sleep(10 * time.Millisecond) {
-			if time.Now().After(deadline) {
-				return 0, fmt.Errorf("%s is not ready", p.name)
-			}
+		if err := p.awaitReady(5 * time.Second); err != nil {
+			return 0, err
 		}
 		f.rec.note("%s is ready", p.name)
 		var wg sync.WaitGroup
--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -53,6 +54,18 @@
 	return b.String()
 }
 
+// dial connects to an address.
+func dial(addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Second}
+	return d.DialContext(context.Background(), "tcp", addr)
+}
+
+// listen listens at an address.
+func listen(addr string) (net.Listener, error) {
+	var l net.ListenConfig
+	return l.Listen(context.Background(), "tcp", addr)
+}
+
 // do sends a request on the connection, which it opens if there is none, and reads the answer.
 func (c *client) do(q request) outcome {
 	o := outcome{id: q.id, sent: time.Now()}
@@ -62,7 +75,7 @@
 		}
 	}()
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.addr, time.Second)
+		conn, err := dial(c.addr)
 		if err != nil {
 			o.ended, o.err, o.connectionGone = time.Now(), err, true
 			return o
@@ -79,6 +92,7 @@
 		o.status, o.seal, o.retryAfter = resp.StatusCode, resp.Header.Get("X-Chervilreach-Response-Seal"), resp.Header.Get("Retry-After")
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		o.body = string(data)
 		o.connectionGone = resp.Close
 		if err == nil && o.status == http.StatusOK {
--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -1,9 +1,9 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +22,9 @@
 	portStore = 17715
 )
 
+// drainTimeout is how long a process may take to stop.
+const drainTimeout = 8 * time.Second
+
 // fleet is a deployment on loopback.
 type fleet struct {
 	dir, bin string
@@ -136,7 +139,7 @@
 }
 
 func (p *proc) start(bin string) error {
-	p.cmd = exec.Command(bin, p.role, p.settings)
+	p.cmd = exec.CommandContext(context.Background(), bin, p.role, p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1", "GOGC=60"}
 	if err := p.cmd.Start(); err != nil {
@@ -153,6 +156,29 @@
 // signal sends a signal to the process.
 func (p *proc) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
+// terminate stops the process, and kills it if it takes longer than it may.
+func (p *proc) terminate() {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(drainTimeout):
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+	}
+}
+
+// awaitReady waits until the router says that it is ready.
+func (p *proc) awaitReady(timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for !ready(fmt.Sprintf("%s:%d", p.ip, portReady)) {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s is not ready", p.name)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
 // front is the address for callers.
 func (p *proc) front() string { return fmt.Sprintf("%s:%d", p.ip, portFront) }
 
@@ -163,14 +189,8 @@
 		if p.role != "relay" {
 			continue
 		}
-		for {
-			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", p.name)
-			}
-			if ready(fmt.Sprintf("%s:%d", p.ip, portReady)) {
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
+		if err := p.awaitReady(time.Until(deadline)); err != nil {
+			return err
 		}
 	}
 	time.Sleep(4 * time.Second)
@@ -179,7 +199,7 @@
 
 // ready asks a router whether it is ready.
 func ready(addr string) bool {
-	c, err := net.DialTimeout("tcp", addr, time.Second)
+	c, err := dial(addr)
 	if err != nil {
 		return false
 	}
--- a/review/harness-2/proxy.go
+++ b/review/harness-2/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -17,7 +18,7 @@
 }
 
 func newProxy(at, to string) (*proxy, error) {
-	l, err := net.Listen("tcp", at)
+	l, err := listen(at)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +56,7 @@
 func (p *proxy) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	p.wait()
-	to, err := net.Dial("tcp", p.to)
+	to, err := dial(p.to)
 	if err != nil {
 		return
 	}
@@ -73,7 +74,7 @@
 				}
 			}
 			if err != nil {
-				if err != io.EOF {
+				if !errors.Is(err, io.EOF) {
 					_ = dst.Close()
 				}
 				return
--- a/review/harness-2/replica.go
+++ b/review/harness-2/replica.go
@@ -87,7 +87,7 @@
 	var l net.Listener
 	var err error
 	for range 50 {
-		if l, err = net.Listen("tcp", r.addr); err == nil {
+		if l, err = listen(r.addr); err == nil {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -205,12 +205,12 @@
 	if want := c.req.Header.Get("X-Chervilreach-Expect-Instance"); want != "" && want != r.instance {
 		return c.write("HTTP/1.1 421 Misdirected Request\r\nX-Chervilreach-Instance-Id: %s\r\nX-Chervilreach-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", r.instance, c.id)
 	}
-	switch {
-	case c.req.URL.Path == "/health":
+	switch c.req.URL.Path {
+	case "/health":
 		return c.write("HTTP/1.1 200 OK\r\nX-Chervilreach-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.instance)
-	case c.req.URL.Path == "/-/report":
+	case "/-/report":
 		return r.serveReport(c)
-	case c.req.URL.Path == "/-/order":
+	case "/-/order":
 		return r.serveOrder(c)
 	}
 	r.mu.Lock()
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -34,7 +33,7 @@
 // newStore starts a store at addr.
 func newStore(addr string) (*store, error) {
 	s := &store{revision: 10, items: make(map[string]item), changed: make(chan struct{})}
-	l, err := net.Listen("tcp", addr)
+	l, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
