io/relayd: attempt lines have the status of the endpoint's answer

A caller's 503 could be the router's own refusal or an endpoint's failure that was passed on, and the log did not tell which: the line attempt had an outcome only, and for complete answers not even that there was a status.

TestAttemptLineHasStatusOfEndpoint does not build on the code before.

--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -91,6 +91,9 @@
 	weightsVersion int64
 	// limitHeader is the header with the rate limit in the last answer, for the log.
 	limitHeader string
+	// answerStatus is the HTTP status of the endpoint's answer to the last attempt, for the log; 0 if there
+	// was none.
+	answerStatus int
 	// usedConns are the connections on which the request has been answered. An endpoint may write that
 	// answer once more, and its ID does not tell it from the answer to a later attempt.
 	usedConns []*conns.Conn
@@ -161,7 +164,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	startedAt := time.Now()
-	x.limitHeader = ""
+	x.limitHeader, x.answerStatus = "", 0
 	x.logSend(send)
 	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
 	defer cancel()
@@ -287,6 +290,7 @@
 	if err != nil {
 		return conns.IdleTimeout{}, err
 	}
+	x.answerStatus = resp.StatusCode
 	x.reportSelfStatus(send, info)
 	x.reportLimit(send, info)
 	keep := conns.IdleTimeoutOf(resp)
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -96,6 +96,9 @@
 		Int64("took-ms", time.Since(startedAt).Milliseconds()).
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
 		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err)
+	if x.answerStatus != 0 {
+		line = line.Int("status", x.answerStatus)
+	}
 	if ended.Result == relay.Broken {
 		line = line.Bool("head", ended.HeadReceived).Strs("parts", x.partIDs()).Stringer("whole", x.request.Whole)
 	}
--- a/io/relayd/log_test.go
+++ b/io/relayd/log_test.go
@@ -103,3 +103,26 @@
 	assert.Equal(t, "3", fields["crashes"])
 	assert.Contains(t, fields, "verdict-age-ms")
 }
+
+// Guards against a caller's 503 of which the log does not tell whether it is the router's or the endpoint's.
+func TestAttemptLineHasStatusOfEndpoint(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		status int
+		want   string
+	}{
+		"answered":  {503, `"status":503`},
+		"no answer": {0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var lines bytes.Buffer
+			x := &exchange{d: New(Options{Log: zerolog.New(&lines)}), route: &route.Route{}, answerStatus: c.status}
+			x.logAttempt(relay.Send{}, relay.AttemptEnded{Result: relay.Failed}, time.Now(), nil)
+			if c.want == "" {
+				assert.NotContains(t, lines.String(), "status")
+				return
+			}
+			assert.Contains(t, lines.String(), c.want)
+		})
+	}
+}
