io/guard: no status promises that a request has not run if it may have

To callers 408, 421, 429 and 503 mean that the request has not run and never will, so that they send it again.

Cause: an endpoint's answer that is no rejection went to the caller with whatever status it had. Nobody asked what the status promises: it was judged where answers are read, as a success or a failure of the endpoint. Four ways led to the caller: failures that the reducer delivers (503), complete answers below 500 (408, 429), answers too long to be buffered, refused streams.

Ruled out: that the router refuses the request itself. Its attempt ends as failed with status 503, its request as endpoint-failed.

Change: each answer passes io/guard. It is told whether the request may have run, from the first byte sent to an endpoint until that endpoint rejects it, and for good after an attempt that may have run. It replaces a status that promises otherwise by 502 and drops the headers that belong to it. 408 and 429 without a rejection are failures of the endpoint, as 503 was. A check at each reader would have to be repeated at each new way to the caller.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -118,7 +118,8 @@
 	Replaced Result = "replaced"
 	// Broken means that no complete answer was received. The request may have run.
 	Broken Result = "broken"
-	// Failed means that the endpoint sent a complete answer with a server error.
+	// Failed means that the endpoint sent a complete answer with a server error, or with a status
+	// that says that the request has not run though the endpoint has not rejected it.
 	Failed Result = "failed"
 	// Expired means that the deadline passed during the attempt.
 	Expired Result = "expired"
@@ -126,6 +127,16 @@
 	Abandoned Result = "abandoned"
 )
 
+// MayHaveRun reports whether the request may have run in an attempt with this result.
+func (r Result) MayHaveRun() bool {
+	switch r {
+	case Unsent, Shed, ModelMissing, Replaced:
+		return false
+	default:
+		return true
+	}
+}
+
 // RateLimit is the rate limit that an endpoint names in an answer.
 type RateLimit struct {
 	// Named reports whether the answer names a limit.
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -1,5 +1,6 @@
 // Package guard makes sure that each request that a router has read ends in exactly one
-// counted outcome, also if its handler panics.
+// counted outcome, also if its handler panics, and that no answer promises that a request has not
+// run if it may have.
 package guard
 
 import (
@@ -55,7 +56,7 @@
 type Guard struct {
 	Log     zerolog.Logger
 	Metrics metrics.Registry
-	// Prefix is the prefix of the counters. The Outcome follows.
+	// Prefix is the prefix of the counters. The Outcome follows, or metricReplaced.
 	Prefix string
 	// IDHeader is the header with the ID of a request, for the log.
 	IDHeader string
@@ -93,7 +94,7 @@
 // the caller gets status 500; if an answer has begun, the caller's connection is closed. It is
 // also closed after the outcomes Cut and Left, so that what was written does not look complete.
 func (g *Guard) Serve(w http.ResponseWriter, r *http.Request, handler http.HandlerFunc) {
-	sw := &writer{ResponseWriter: w}
+	sw := &writer{ResponseWriter: w, guard: g}
 	g.add(sw, r.Header.Get(g.IDHeader))
 	defer g.remove(sw)
 	defer func() { g.finish(sw, r, recover()) }()
@@ -134,7 +135,10 @@
 // writer is the http.ResponseWriter of a guarded handler.
 type writer struct {
 	http.ResponseWriter
+	guard   *Guard
 	outcome Outcome
+	// mayHaveRun is what SetMayHaveRun has set.
+	mayHaveRun bool
 	// begun reports whether the status of the final answer has been written.
 	begun bool
 }
@@ -145,7 +149,7 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *writer) WriteHeader(status int) {
 	w.begun = w.begun || status >= http.StatusOK
-	w.ResponseWriter.WriteHeader(status)
+	w.ResponseWriter.WriteHeader(w.truthful(status))
 }
 
 // Write implements http.ResponseWriter.
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -151,3 +152,36 @@
 	require.Eventually(t, func() bool { return len(g.Open()) == 0 }, 5*time.Second, time.Millisecond)
 	callers.Wait()
 }
+
+// Guards against an answer that promises that a request has not run though it may have, whoever gave its status.
+func TestNoPromiseForRequestThatMayHaveRun(t *testing.T) {
+	for status, replaced := range map[int]bool{
+		408: true, 421: true, 429: true, 503: true,
+		200: false, 304: false, 400: false, 404: false, 409: false, 425: false, 500: false, 502: false, 504: false,
+	} {
+		for _, mayHaveRun := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d, may have run %t", status, mayHaveRun), func(t *testing.T) {
+				registry := metrics.NewRegistry()
+				g := &guard.Guard{Log: zerolog.Nop(), Metrics: registry, Prefix: "requests.", IDHeader: "x-id"}
+				rec := httptest.NewRecorder()
+				g.Serve(rec, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil), func(w http.ResponseWriter, _ *http.Request) {
+					for name, value := range map[string]string{"X-Id": "r-1", "X-Seal": "s", "Retry-After": "1", "Content-Type": "text/plain"} {
+						w.Header().Set(name, value)
+					}
+					guard.SetMayHaveRun(w, mayHaveRun)
+					guard.End(w, guard.EndpointFailed)
+					w.WriteHeader(status)
+				})
+				kept := http.Header{"X-Id": {"r-1"}, "X-Seal": {"s"}, "Retry-After": {"1"}, "Content-Type": {"text/plain"}}
+				want, count := status, int64(0)
+				if replaced && mayHaveRun {
+					want, count = http.StatusBadGateway, 1
+					kept = http.Header{"X-Id": {"r-1"}, "Content-Type": {"text/plain"}}
+				}
+				assert.Equal(t, want, rec.Code)
+				assert.Equal(t, kept, rec.Result().Header) //nolint:bodyclose // A recorder's body need not be closed.
+				assert.Equal(t, count, metrics.GetOrRegisterCounter("requests.status-replaced", registry).Count())
+			})
+		}
+	}
+}
--- a/io/relayd/ending.go
+++ b/io/relayd/ending.go
@@ -64,7 +64,7 @@
 		x.leave()
 	}
 	x.w.Header().Set("Connection", "close")
-	if x.headerSent || x.mayHaveRun {
+	if x.headerSent || guard.MayHaveRun(x.w) {
 		x.fail(reasonCanceled)
 		return
 	}
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -75,8 +75,6 @@
 	// headerSent reports whether the status and header of an answer have been written to the
 	// caller. Another answer can't be sent then.
 	headerSent bool
-	// mayHaveRun reports whether an attempt has ended after which the request may have run.
-	mayHaveRun bool
 	// ended reports whether the outcome of the request is known.
 	ended bool
 	// lastEventID is the ID of the last stream event forwarded to the caller, or relay.NoEvent.
@@ -163,14 +161,14 @@
 		// A request that must not run twice is not canceled when its caller disconnects.
 		ctx = context.WithoutCancel(ctx)
 	}
-	startedAt := time.Now()
+	startedAt, mayHaveRun := time.Now(), guard.MayHaveRun(x.w)
 	x.limitHeader, x.answerStatus = "", 0
 	x.logSend(send)
 	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
 	defer cancel()
 	ended := relay.AttemptEnded{ID: x.id}
 	err := x.tryEndpoint(ctx, send, &ended)
-	x.mayHaveRun = x.mayHaveRun || ended.Result == relay.Broken || ended.Result == relay.Failed
+	guard.SetMayHaveRun(x.w, mayHaveRun || ended.Result.MayHaveRun())
 	ended.LastEvent, ended.Version, ended.Answering = x.lastEventID, x.weightsVersion, x.headerSent
 	switch {
 	case errors.Is(err, errCallerGone):
@@ -271,6 +269,8 @@
 // the connection may be kept; zero means not at all.
 func (x *exchange) roundTrip(c *conns.Conn, send relay.Send, ended *relay.AttemptEnded) (conns.IdleTimeout, error) {
 	begin, rest := x.encodeRequest(send)
+	// Until the endpoint says otherwise.
+	guard.SetMayHaveRun(x.w, true)
 	if n, err := c.Write(begin); err != nil {
 		if n > 0 {
 			ended.Result = relay.Broken
--- a/io/relayd/forward.go
+++ b/io/relayd/forward.go
@@ -8,10 +8,11 @@
 	"chervilreach/core/relay"
 	"chervilreach/core/route"
 	"chervilreach/io/conns"
+	"chervilreach/io/guard"
 )
 
 // forwardAnswer forwards an answer to the caller and sets the result of the attempt. Short
-// answers are read completely first. A server error is not forwarded but stored in
+// answers are read completely first. A failure is not forwarded but stored in
 // x.failedAnswer, as the reducer decides whether to retry. An error means that the
 // connection can't be used again.
 func (x *exchange) forwardAnswer(send relay.Send, resp *http.Response, info AnswerInfo, ended *relay.AttemptEnded) error {
@@ -35,7 +36,7 @@
 		return x.forwardUnbuffered(resp, body, ended)
 	}
 	answer := &bufferedAnswer{head: resp, body: body}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if isFailure(resp) {
 		x.failedAnswer = answer
 		ended.Result = relay.Failed
 		return nil
@@ -46,6 +47,13 @@
 	return nil
 }
 
+// isFailure reports whether an answer to a request that has run, as far as is known, is a failure of the
+// endpoint. A status that says that the request has not run is one: only HeaderCodec.ParseAnswer tells
+// whether the endpoint has rejected the request.
+func isFailure(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusInternalServerError || guard.PromisesNotRun(resp.StatusCode)
+}
+
 // isWholeSuccess reports whether an answer that has ended is a success that certainly is complete.
 func isWholeSuccess(resp *http.Response) bool {
 	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices && !unframed(resp)
