--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -92,6 +92,8 @@
 	// answerStatus is the HTTP status of the endpoint's answer to the last attempt, for the log; 0 if there
 	// was none.
 	answerStatus int
+	// defect is AnswerInfo.Defect of the last answer.
+	defect error
 	// usedConns are the connections on which the request has been answered. An endpoint may write that
 	// answer once more, and its ID does not tell it from the answer to a later attempt.
 	usedConns []*conns.Conn
@@ -162,7 +164,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	startedAt, mayHaveRun := time.Now(), guard.MayHaveRun(x.w)
-	x.limitHeader, x.answerStatus = "", 0
+	x.limitHeader, x.answerStatus, x.defect = "", 0, nil
 	x.logSend(send)
 	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
 	defer cancel()
@@ -290,7 +292,7 @@
 	if err != nil {
 		return conns.IdleTimeout{}, err
 	}
-	x.answerStatus = resp.StatusCode
+	x.answerStatus, x.defect = resp.StatusCode, info.Defect
 	x.reportSelfStatus(send, info)
 	x.reportLimit(send, info)
 	keep := conns.IdleTimeoutOf(resp)
--- a/io/relayd/handler.go
+++ b/io/relayd/handler.go
@@ -71,6 +71,8 @@
 	// Result is the result of the attempt if the answer must not be forwarded, and empty
 	// otherwise.
 	Result relay.Result
+	// Defect is why the answer can't be used if Result is relay.Broken, for the log.
+	Defect error
 	// Foreign reports whether the answer belongs to another request. The other fields are
 	// zero then.
 	Foreign bool
--- a/io/relayd/log.go
+++ b/io/relayd/log.go
@@ -97,7 +97,7 @@
 		Int64("left-ms", time.Until(send.Deadline).Milliseconds()).
 		Int64("last-event", ended.LastEvent).Str("outcome", string(ended.Result)).Err(err)
 	if x.answerStatus != 0 {
-		line = line.Int("status", x.answerStatus)
+		line = line.Int("status", x.answerStatus).AnErr("defect", x.defect)
 	}
 	if ended.Result == relay.Broken {
 		line = line.Bool("head", ended.HeadReceived).Strs("parts", x.partIDs()).Stringer("whole", x.request.Whole)
