core/relay: a failure that is forwarded unbuffered counts against its endpoint

What callers saw: nothing by itself. An endpoint whose failures are longer than 256 KiB counted as sound, with requests that counted as answered, so that it went on to get requests.

Cause: such answers are forwarded as they come and ended as done; the status was looked at only for buffered ones.

Change: AttemptEnded.EndpointFailed. The request counts as endpoint-failed.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -23,7 +23,7 @@
 	r.endpointFailed, r.wasShed = ev.Result == Failed, ev.Result == Shed
 	switch ev.Result {
 	case Done:
-		e.recordOutcome(false, s.now)
+		e.recordOutcome(ev.EndpointFailed, s.now)
 		e.answeredAt = s.now
 		s.answerTimes.note(r.Route, s.now.Sub(r.sentAt))
 		s.noteAnswered(r, ev.PromptServed)
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -214,6 +214,9 @@
 	// PromptServed reports whether an attempt with the result Done has served the prompt: the answer
 	// is a stream with events, or a success whose end is marked.
 	PromptServed bool
+	// EndpointFailed reports whether the answer that an attempt with the result Done has passed on is a
+	// failure of the endpoint.
+	EndpointFailed bool
 	// HeadReceived reports whether the head of an answer to the attempt has been received.
 	HeadReceived bool
 }
--- a/core/relay/promise_test.go
+++ b/core/relay/promise_test.go
@@ -76,3 +76,26 @@
 		}
 	}
 }
+
+// Guards against an endpoint that counts as sound because its failures are too long to be buffered.
+func TestForwardedFailureCountsAgainstEndpoint(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed  bool
+		ejected bool
+	}{
+		"failure": {true, true},
+		"answer":  {false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			router := newTestRouter(t, testEntry("e1", plain))
+			for range 10 {
+				id := router.arrive(plainRoute(route.Unsafe), stock.Item{})
+				if len(effectsOf[Send](router)) == 0 {
+					break
+				}
+				router.apply(AttemptEnded{ID: id, Result: Done, LastEvent: NoEvent, EndpointFailed: c.failed})
+			}
+			assert.Equal(t, c.ejected, router.state.endpoint("e1").ejectedUntil.After(router.now))
+		})
+	}
+}
--- a/io/relayd/exchange.go
+++ b/io/relayd/exchange.go
@@ -188,6 +188,8 @@
 		x.leave()
 	case ended.Result == relay.Abandoned:
 		x.endCanceled()
+	case ended.EndpointFailed && !x.ended:
+		x.logOutcome(guard.EndpointFailed, "")
 	case ended.Result == relay.Done && !x.ended:
 		x.end(guard.Answered)
 	}
--- a/io/relayd/forward.go
+++ b/io/relayd/forward.go
@@ -71,7 +71,7 @@
 	if _, err := io.Copy(caller, resp.Body); err != nil {
 		return fmt.Errorf("forward answer: %w", err)
 	}
-	ended.Result, ended.PromptServed = relay.Done, isWholeSuccess(resp)
+	ended.Result, ended.PromptServed, ended.EndpointFailed = relay.Done, isWholeSuccess(resp), isFailure(resp)
 	return x.extendWriteDeadline()
 }
 
