core/relay: a request whose run was listed is not refused as not run

What callers would see: a silent stream whose run the endpoint has listed to its agent is refused as not run (503) if the endpoint, or another instance at its address, rejects it afterwards and no endpoint is left.

Cause: the result of an attempt was what its answer says, and the agent's word on the run was used for the silence alone.

Change: a listed run counts as one that may have been.

Test: TestListedRunIsNotRefused failed in 3 of 6 cases before, those with a listed run.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -11,6 +11,10 @@
 	}
 	e, silence := r.target, r.silence
 	given := s.endSilence(r)
+	if silence != nil && silence.check.wasListed && !ev.Result.MayHaveRun() {
+		// The endpoint has listed the run, so that its rejection is not the whole truth.
+		r.possibleRunCount++
+	}
 	if ev.Result == Broken {
 		s.noteLostAttempt(r, e, ev)
 	}
--- a/core/relay/promise_test.go
+++ b/core/relay/promise_test.go
@@ -77,6 +77,31 @@
 	}
 }
 
+// Guards against a refusal of a request whose run the endpoint had listed before it rejected it.
+func TestListedRunIsNotRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		states []stock.RunState
+		want   event.Effect
+	}{
+		"listed":     {[]stock.RunState{stock.RunListed}, Fail{ID: 1, Reason: NoEndpoint}},
+		"not listed": {[]stock.RunState{stock.RunUnlisted}, nil},
+	} {
+		for _, result := range []Result{Shed, ModelMissing, Replaced} {
+			t.Run(name+", "+string(result), func(t *testing.T) {
+				router := newSilentStream(t)
+				router.answerRun(c.states...)
+				router.listEndpoints()
+				router.endAttempt(1, result)
+				if c.want != nil {
+					assert.Equal(t, c.want, finalEffect(router))
+					return
+				}
+				assert.IsType(t, Refuse{}, finalEffect(router))
+			})
+		}
+	}
+}
+
 // Guards against an endpoint that counts as sound because its failures are too long to be buffered.
 func TestForwardedFailureCountsAgainstEndpoint(t *testing.T) {
 	for name, c := range map[string]struct {
