io/front: an engine's answer can't be taken for a refusal

What callers saw: an engine or service that has run a request and answers 408, 421, 429 or 503, or with application/problem+json and not-run: true, speaks to the caller as the router does when a request has not run.

Change: a request whose answer has begun has run. io/guard replaces the statuses by 502, the type becomes application/json, and a refusal after the beginning says not-run: false.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -258,6 +258,9 @@
 	case out.callerGone || x.r.Context().Err() != nil:
 		x.abandon()
 	}
+	if out.begun {
+		err = ranRefusal(err)
+	}
 	p := x.problemFor(err)
 	if !out.headerSent {
 		guard.End(x.w, guard.Refused)
@@ -279,6 +282,15 @@
 	return &RefusedError{Refusal: refusal}
 }
 
+// ranRefusal returns the refusal of a call whose response has begun, so that it has been run.
+func ranRefusal(err error) error {
+	refusal := refusalOf(err)
+	if refusal.NotRun == fleet.NotRunTrue {
+		refusal.NotRun = fleet.NotRunFalse
+	}
+	return &RefusedError{Refusal: refusal}
+}
+
 // finish sends the buffered part of a complete response and counts the response.
 func (x *exchange) finish(out *sink) {
 	if err := out.finish(); err != nil {
--- a/io/front/header.go
+++ b/io/front/header.go
@@ -161,3 +161,10 @@
 	media, _, err := mime.ParseMediaType(contentType)
 	return err == nil && media == mediaEventStream
 }
+
+// isProblem reports whether a content type is that of a Problem, with or without parameters. These may be
+// malformed, as callers need not parse them.
+func isProblem(contentType string) bool {
+	media, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(media), problemType)
+}
--- a/io/front/sink.go
+++ b/io/front/sink.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"chervilreach/io/guard"
 )
 
 // maxBufferedBytes is the maximum size of a response that is not streamed and is buffered
@@ -54,7 +56,12 @@
 		return errAnswerOrder
 	}
 	s.begun, s.begunAt = true, s.now()
+	guard.SetMayHaveRun(s.w, true)
 	s.status, s.contentType = status, contentType
+	if isProblem(contentType) {
+		// The type of the router's own refusals.
+		s.contentType = mediaJSON
+	}
 	if status < http.StatusOK || status > 599 {
 		s.status = http.StatusBadGateway
 	}
