soak: replicas fail requests that they have run

All replicas of a service now fail one of 2 to 5 requests that they have run, with 500, 503, 429 or 408, for 0.2 to 2.2 s at a time.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -204,10 +204,13 @@
 	return o.fullySent && o.status == 0 && !errors.Is(o.err, os.ErrDeadlineExceeded)
 }
 
-// responseDefect describes what is wrong with a successful answer, or returns an empty
-// string. The seal must be that of the attempt, a complete body the expected one, and an
+// responseDefect describes what is wrong with an answer, or returns an empty string. An error that no replica
+// gives must have no seal. Of a successful answer, the seal must be that of the attempt, a complete body the expected one, and an
 // incomplete body a prefix of it. eventCount is the number of events of a stream.
 func (o *outcome) responseDefect(eventCount int) string {
+	if o.seal != "" && (o.status == http.StatusBadGateway || o.status == http.StatusGatewayTimeout) {
+		return fmt.Sprintf("status %d with the seal %s", o.status, o.seal)
+	}
 	if o.status != http.StatusOK {
 		return ""
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -131,6 +132,32 @@
 	}
 }
 
+// failureStatuses are the statuses with which replicas fail requests that they have run.
+var failureStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// failRuns has the replicas of a service fail a part of their runs, again and again.
+func (h *harness) failRuns(ctx context.Context, rnd *rand.Rand) {
+	for ctx.Err() == nil {
+		sleep(ctx, faultDuration(rnd))
+		h.injectOne(ctx, fault{"service fails runs", func(ctx context.Context, h *harness, rnd *rand.Rand) error {
+			service, status, every := pick(rnd, h.fleet.replicas).Service(), pick(rnd, failureStatuses), 2+rnd.IntN(4)
+			h.setFailures(service, status, every)
+			sleep(ctx, faultDuration(rnd))
+			h.setFailures(service, 0, 1)
+			return nil
+		}}, rnd)
+	}
+}
+
+// setFailures calls FailRuns of all replicas of a service.
+func (h *harness) setFailures(service string, status, every int) {
+	for _, r := range h.fleet.replicas {
+		if r.Service() == service {
+			r.FailRuns(status, every)
+		}
+	}
+}
+
 // setLoadTime sets the duration of loads of all replicas.
 func (h *harness) setLoadTime(d time.Duration) {
 	for _, r := range h.fleet.replicas {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -160,6 +160,7 @@
 	wg.Go(func() { h.returnFromCopies(ctx, rand.New(rand.NewPCG(h.opts.Seed, 12))) })
 	wg.Go(func() { h.writeOddEntries(ctx, rand.New(rand.NewPCG(h.opts.Seed, 13))) })
 	wg.Go(func() { h.answerWithoutEnd(ctx, rand.New(rand.NewPCG(h.opts.Seed, 14))) })
+	wg.Go(func() { h.failRuns(ctx, rand.New(rand.NewPCG(h.opts.Seed, 15))) })
 	wg.Go(func() { h.probeRoutes(ctx) })
 }
 
@@ -326,8 +327,7 @@
 	if o.path == mock.OncePath && len(runs) > 1 {
 		h.addViolation("%s %s ran %d times", o.path, o.attemptID, len(runs))
 	}
-	refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
-	if refused && len(runs) > 0 {
+	if guard.PromisesNotRun(o.status) && len(runs) > 0 {
 		h.addViolation("%s %s was answered %d and ran at %s", o.path, o.attemptID, o.status, runs[0].Instance)
 	}
 	if took := o.endedAt.Sub(o.sentAt); o.status != 0 && took > o.timeout()+time.Second {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,8 @@
 	// Found that routers handed requests with a prompt part that crashes replicas on to one
 	// replica after the other (incident inc2 of 2026-12-04).
 	"prompt part crashes replicas": {seed: 36, duration: 20 * time.Second, replicaCount: 8},
+	// Without the check of statuses in package guard: a failure of a replica is passed on as a refusal.
+	"failures of replicas": {seed: 62003, duration: 8 * time.Second},
 	// Found that streams went on at another replica while the first was silent for 1.3 to 2.4 s.
 	"replicas pause": {seed: 45010, duration: 8 * time.Second, replicaCount: 4, onlyPauses: true},
 }
@@ -137,6 +139,7 @@
 		"another's body":        func(o *outcome) { o.body = "answer to b" },
 		"short body as whole":   func(o *outcome) { o.body = "answer" },
 		"broken off, and wrong": func(o *outcome) { o.complete, o.body = false, "answer to b" },
+		"replaced status":       func(o *outcome) { o.status = 502 },
 		"stream with a gap":     func(o *outcome) { o.path, o.complete, o.body = "/draft/", false, "id: 1\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
