core/relay: attempts sent to an incarnation that had ended are no crash

Cause: the older copy lists incarnations that have ended. Routers sent requests there, broke them off when the list was right again, and counted each such incarnation as one more crash: a second one, or the first of one that had ended without a lost request. A list of the past also has an earlier incarnation at the address of a living one, which counted as crashed.

Change: routers remember the ends of incarnations and their last sign of life. An attempt sent after the end, with no sign of life since, is no evidence, and neither is one that the router itself breaks off at an endpoint that it has never seen alive. An entry with an earlier start ends no endpoint.

--- a/core/relay/ended.go
+++ b/core/relay/ended.go
@@ -18,6 +18,7 @@
 	if ev.Result == Broken {
 		s.noteLostAttempt(r, e, ev)
 	}
+	e.noteSignOfLife(ev, s.now)
 	s.detach(r)
 	r.partlyAnswered = r.partlyAnswered || ev.Answering
 	r.LastEvent = max(r.LastEvent, ev.LastEvent)
--- a/core/relay/endpoint.go
+++ b/core/relay/endpoint.go
@@ -109,6 +109,10 @@
 	// lostAttempts are the attempts that the endpoint's crash may have ended, end is what is known of its end.
 	lostAttempts []lostAttempt
 	end          incarnationEnd
+	// aliveAt is the time of the last sign of life of the incarnation: an answer, or a report of its agent. endedAt is
+	// that of the first word since that it has ended, also from before it was listed again. Both are zero if there was
+	// none.
+	aliveAt, endedAt time.Time
 	// checkingPort reports whether the answer to CheckPort is awaited.
 	checkingPort bool
 	// toldCrashCount is the number of the router's crashes (poisonState.crashCount) when the agent
@@ -222,7 +226,7 @@
 // recordAnswerStart records that the prompt of r has been processed, and updates the prefill
 // speed.
 func (e *endpoint) recordAnswerStart(r *request, now time.Time) {
-	e.answeredAt = now
+	e.answeredAt, e.aliveAt = now, now
 	e.end = incarnationEnd{}
 	delete(e.shed, r.Item.Model)
 	e.prefillTokens -= r.TokensIn
--- a/core/relay/lost.go
+++ b/core/relay/lost.go
@@ -79,8 +79,20 @@
 	lossWithoutEnd lossReason = "no-end"
 	// lossTooMany: the endpoint had lost maxLostAttempts since.
 	lossTooMany lossReason = "too-many"
+	// lossAfterEnd: the attempt was sent after the endpoint had ended.
+	lossAfterEnd lossReason = "after-end"
 )
 
+// maxEndedIncarnations bounds the number of ended incarnations that are remembered.
+const maxEndedIncarnations = 8192
+
+// incarnationKey identifies an incarnation of an endpoint.
+type incarnationKey struct {
+	instance string
+	// born is EndpointEntry.Born.
+	born int64
+}
+
 // LossDiscarded reports that an attempt whose connection its endpoint closed does not count as a crash, for the
 // log.
 type LossDiscarded struct {
@@ -106,6 +118,9 @@
 	case e.saysLeaving(), !listed && !s.hasEnded(e):
 		s.discardLost(e, lossOfLeaving, lost)
 		return
+	case s.sentAfterEnd(r, e, ev):
+		s.discardLost(e, lossAfterEnd, lost)
+		return
 	case r.answerBegan && !s.now.Before(r.answerBeganAt.Add(answerSettleTime)):
 		s.discardLost(e, lossAfterAnswer, lost)
 		return
@@ -129,6 +144,30 @@
 	}
 }
 
+// sentAfterEnd reports whether the attempt was sent after the endpoint's incarnation had ended. An entry of the past
+// lists such an incarnation again, as when the store comes back from an older copy. The router knew of the end and has
+// had no sign of life since; or it has never had one, and neither has the endpoint closed the connection.
+func (s *State) sentAfterEnd(r *request, e *endpoint, ev AttemptEnded) bool {
+	switch {
+	case ev.HeadReceived:
+		return false
+	case e.aliveAt.IsZero() && !ev.Cut:
+		return true
+	case e.endedAt.IsZero() || !e.HasModels && e.Born == 0:
+		return false // An instance that has no start may run again under its name.
+	default:
+		return !r.sentAt.Before(e.endedAt) && !e.aliveAt.After(e.endedAt)
+	}
+}
+
+// noteSignOfLife notes whether an attempt ended with a sign of life of the endpoint.
+func (e *endpoint) noteSignOfLife(ev AttemptEnded, now time.Time) {
+	answered := ev.Result == Done || ev.Result == Shed || ev.Result == ModelMissing || ev.Result == Failed
+	if answered || ev.HeadReceived {
+		e.aliveAt = now
+	}
+}
+
 // hasEnded reports whether the endpoint's incarnation is known to have ended lately.
 func (s *State) hasEnded(e *endpoint) bool { return s.now.Before(e.end.until) }
 
@@ -149,6 +188,10 @@
 
 // endIncarnation notes that the endpoint's incarnation has ended, and reports the crash if attempts were lost there.
 func (s *State) endIncarnation(e *endpoint, source crashSource) {
+	if e.endedAt.IsZero() || e.aliveAt.After(e.endedAt) {
+		e.endedAt = s.now
+	}
+	s.endedIncarnations.Put(incarnationKey{e.Instance, e.Born}, e.endedAt)
 	e.end.source, e.end.until = source, s.now.Add(crashConfirmTime)
 	if source == foundByRemoval {
 		e.end.until = s.now.Add(removalGrace)
--- a/core/relay/members.go
+++ b/core/relay/members.go
@@ -57,7 +57,10 @@
 		s.reportLeaving(old[id], wasLeaving, EndpointLeaving{Source: sourceStore, ReadAt: ev.ReadAt})
 		s.unassignLoads(id)
 		if slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return e.Address == old[id].Address }) {
-			s.endIncarnation(old[id], foundByAddress)
+			// Without a successor, the list is of the past, and has an earlier incarnation.
+			if s.hasSuccessor(old[id]) {
+				s.endIncarnation(old[id], foundByAddress)
+			}
 			s.abortAttempts(old[id])
 			continue
 		}
@@ -136,6 +139,7 @@
 	if e == nil {
 		e = newEndpoint(m, s.now)
 		e.tieBreak = s.tieBreakOf(m.Instance)
+		e.endedAt, _ = s.endedIncarnations.Get(incarnationKey{m.Instance, m.Born})
 		e.self.leaving = s.hasLeft(m)
 		e.former = former
 	}
@@ -194,6 +198,9 @@
 	e.hasSparseReports = s.followsSubset()
 	s.retryBudget.routerCount = s.estimateRouters(s.mostRoutersReported())
 	s.adoptLimits(ev.Report)
+	if !ev.Report.Down {
+		e.aliveAt = laterTime(e.aliveAt, s.now.Add(-staleReportTime))
+	}
 	if ev.Report.Down {
 		s.endIncarnation(e, foundByAgent)
 		s.forgetSelfStatus(e)
--- a/core/relay/state.go
+++ b/core/relay/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"chervilreach/core/aging"
 	"chervilreach/core/event"
 	"chervilreach/core/route"
 )
@@ -83,7 +84,9 @@
 	poison        poisonState
 	// leftInstances are the incarnations that have said that they are leaving, oldest first.
 	leftInstances []leftInstance
-	software      softwareState
+	// endedIncarnations has endpoint.endedAt of the incarnations that have ended.
+	endedIncarnations *aging.Map[incarnationKey, time.Time]
+	software          softwareState
 }
 
 // request is a request in progress.
@@ -152,19 +155,20 @@
 // New returns the state of a router that has just started, without routes and endpoints.
 func New(cfg Settings) *State {
 	return &State{
-		cfg:             cfg,
-		requests:        make(map[RequestID]*request),
-		checked:         make(map[RequestID]*request),
-		pendingLoads:    make(map[loadKey]*pendingLoad),
-		modelTraffic:    make(map[string]*traffic),
-		promptIndex:     newPromptIndex(),
-		index:           newIndex(),
-		outdatedDemands: make(map[string]bool),
-		retryBudget:     newRetryBudget(cfg),
-		pendingAsks:     make(map[uint64]*endpoint),
-		answerTimes:     make(answerTimes),
-		poison:          newPoisonState(),
-		software:        newSoftwareState(),
+		cfg:               cfg,
+		requests:          make(map[RequestID]*request),
+		checked:           make(map[RequestID]*request),
+		pendingLoads:      make(map[loadKey]*pendingLoad),
+		modelTraffic:      make(map[string]*traffic),
+		promptIndex:       newPromptIndex(),
+		index:             newIndex(),
+		outdatedDemands:   make(map[string]bool),
+		retryBudget:       newRetryBudget(cfg),
+		pendingAsks:       make(map[uint64]*endpoint),
+		answerTimes:       make(answerTimes),
+		poison:            newPoisonState(),
+		endedIncarnations: aging.New[incarnationKey, time.Time](maxEndedIncarnations),
+		software:          newSoftwareState(),
 	}
 }
 
