soak: a run that its replica fails after a silence is not ended by the silence

Change: the run log says which runs have failed. Their requests may end with a whole answer once the run has ended, or go on elsewhere then. A request that ends or goes on before that, or without an answer, is a violation as before.

Tests: five cases in TestCheckDetectsAnswersEndedByPauses; "failed, then bad gateway" fails without the change, the three that must be found are found.

--- a/soak/pauses.go
+++ b/soak/pauses.go
@@ -158,9 +158,11 @@
 }
 
 // pauseDefect describes how the request of a run that its replica went on with was ended or repeated
-// meanwhile; empty if it was not. A safe request may run elsewhere too.
+// meanwhile; empty if it was not. A safe request may run elsewhere too, and one whose run has failed may end with that,
+// or run elsewhere afterwards.
 func pauseDefect(o outcome, run mock.Run, all []mock.Run) string {
-	if o.status != http.StatusOK || !o.complete {
+	failed := run.Failed && !o.endedAt.Before(run.EndedAt.Add(-pauseSlack))
+	if (o.status != http.StatusOK || !o.complete) && (!failed || o.status == 0 || o.err != nil) {
 		return fmt.Sprintf("ended after %s with status %d, %d bytes: %v", o.endedAt.Sub(o.sentAt), o.status, len(o.body), o.err)
 	}
 	if o.path == mock.SafePath {
@@ -171,7 +173,7 @@
 			return fmt.Sprintf("went on at %s %s before the run ended", other.Instance, run.EndedAt.Sub(other.StartedAt))
 		}
 	}
-	if !run.Complete {
+	if !run.Complete && !failed {
 		return "was broken off and answered by another replica"
 	}
 	return ""
--- a/soak/pauses_test.go
+++ b/soak/pauses_test.go
@@ -17,6 +17,7 @@
 	after := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	whole := outcome{path: mock.ResumablePath, status: http.StatusOK, complete: true}
 	run := mock.Run{Instance: "i", StartedAt: start, EndedAt: after(2), Complete: true}
+	failed := func(r *mock.Run) { r.Complete, r.Failed = false, true }
 	for name, c := range map[string]struct {
 		o      func(o *outcome)
 		run    func(r *mock.Run)
@@ -33,6 +34,11 @@
 		"broken off":               {run: func(r *mock.Run) { r.Complete = false }, broken: true},
 		"safe, also run elsewhere": {o: func(o *outcome) { o.path = mock.SafePath }, others: []mock.Run{{Instance: "j", StartedAt: after(1)}}},
 		"safe, without an answer":  {o: func(o *outcome) { o.path, o.status = mock.SafePath, 0 }, broken: true},
+		"failed, then bad gateway": {o: func(o *outcome) { o.status, o.complete, o.endedAt = http.StatusBadGateway, false, after(2) }, run: failed},
+		"failed, then elsewhere":   {o: func(o *outcome) { o.endedAt = after(3) }, run: failed, others: []mock.Run{{Instance: "j", StartedAt: after(2.1)}}},
+		"failed, elsewhere before": {o: func(o *outcome) { o.endedAt = after(3) }, run: failed, others: []mock.Run{{Instance: "j", StartedAt: after(1.5)}}, broken: true},
+		"failed, ended before":     {o: func(o *outcome) { o.status, o.endedAt = http.StatusBadGateway, after(1.5) }, run: failed, broken: true},
+		"failed, no answer":        {o: func(o *outcome) { o.status, o.endedAt, o.err = 0, after(2), os.ErrClosed }, run: failed, broken: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o, r := whole, run
